Add what the programs of an instance share

Cause: front end, dispatcher and controller need the same settings, the same admin paths and the same link to the local controller. Conclusion: the three programs can be wired up.

--- /dev/null
+++ b/programs/program.cpp
@@ -0,0 +1,92 @@
+#include "programs/program.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <memory>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+constexpr std::int64_t LowestPort = 1;
+constexpr std::int64_t HighestPort = 65535;
+
+std::string advertised(const instance_settings &values, std::int64_t port)
+{
+    const std::string &address = values.advertiseAddress.empty() ? values.listenAddress : values.advertiseAddress;
+    return describe(endpoint{address, static_cast<std::uint16_t>(port)});
+}
+
+} // namespace
+
+endpoint instance_settings::local(std::int64_t port) const
+{
+    return {listenAddress, static_cast<std::uint16_t>(port)};
+}
+
+member_entry instance_settings::memberEntry() const
+{
+    member_entry entry;
+    entry.instance = instance;
+    entry.dataCentre = dataCentre;
+    entry.frontEndpoint = advertised(*this, frontPort);
+    entry.dispatchEndpoint = advertised(*this, dispatchPort);
+    entry.controlEndpoint = advertised(*this, controlPort);
+    entry.gossipEndpoint = advertised(*this, gossipPort);
+    entry.operatorEndpoint = advertised(*this, operatorPort);
+    return entry;
+}
+
+void addInstanceSettings(settings &options, instance_settings &values)
+{
+    options.addText("instance", values.instance, "name of this instance, unique in the fleet", true);
+    options.addText("data-centre", values.dataCentre, "data centre of this instance", true);
+    options.addAddress("listen-address", values.listenAddress, "address to listen on and to send from", true);
+    options.addAddress("advertise-address", values.advertiseAddress, "address under which others reach this instance (default: the listen address)");
+    options.addNumber("front-port", values.frontPort, LowestPort, HighestPort, "callers' HTTP port");
+    options.addNumber("dispatch-port", values.dispatchPort, LowestPort, HighestPort, "port for frames from front ends");
+    options.addNumber("dispatch-http-port", values.dispatchHttpPort, LowestPort, HighestPort, "dispatcher's HTTP port for metrics and spans");
+    options.addNumber("control-port", values.controlPort, LowestPort, HighestPort, "port for frames to the controller");
+    options.addNumber("gossip-port", values.gossipPort, LowestPort, HighestPort, "UDP port for gossip between controllers");
+    options.addNumber("operator-port", values.operatorPort, LowestPort, HighestPort, "operators' HTTP port");
+}
+
+std::optional<http_response> adminResponse(const http_request &request, const counters &numbers, const span_store &spans, bool ready)
+{
+    if (request.method != "GET") {
+        return std::nullopt;
+    }
+    if (request.path == "/metrics") {
+        return textResponse(200, numbers.text());
+    }
+    if (request.path == "/healthz") {
+        return textResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    }
+    if (request.path == "/v1/spans") {
+        const std::string_view trace = request.parameter("trace");
+        return trace.empty() ? errorResponse(400, "parameter is missing", "trace") : jsonResponse(200, spans.json(trace));
+    }
+    return std::nullopt;
+}
+
+void onStopSignal(boost::asio::io_context &context, std::function<void()> stop)
+{
+    auto signals = std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
+    signals->async_wait([signals, stop = std::move(stop)](boost::system::error_code failed, int) {
+        if (failed) {
+            return;
+        }
+        // A planned stop may take long; a second signal ends the process at once.
+        signals->async_wait([signals](boost::system::error_code failedAgain, int) {
+            if (!failedAgain) {
+                std::_Exit(EXIT_FAILURE);
+            }
+        });
+        stop();
+    });
+}
+
+} // namespace balsamhook
