Read several frames with one system call

Cause: receive() read the length and the body of each frame separately, two system calls a frame, also when many small answers had arrived together. Ruled out: the write side (messages queued during a write already leave in one write) and the codec (0.4 us of the 4.4 us that a sub-answer cost).

--- a/wire/frame_connection.cpp
+++ b/wire/frame_connection.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::size_t LengthBytes = 4;
 
+/// Bytes asked for in one read, so that small frames that arrive together cost one system call.
+constexpr std::size_t ReadAheadBytes = 16 * 1024;
+
 std::string peerName(const tcp::socket &socket)
 {
     boost::system::error_code failed;
@@ -39,6 +42,11 @@
     socket.set_option(user_timeout(static_cast<int>(limits.userTimeout.count())), ignored);
 }
 
+std::size_t frameLength(std::string_view frame)
+{
+    return boost::endian::load_big_u32(reinterpret_cast<const unsigned char *>(frame.data()));
+}
+
 std::string lengthPrefix(std::size_t length)
 {
     unsigned char bytes[LengthBytes];
@@ -132,30 +140,56 @@
 {
     // The connection must outlive the reads below even if its last owner lets go of it meanwhile.
     const auto self = shared_from_this();
-    boost::system::error_code failed;
-    unsigned char prefix[LengthBytes];
-    co_await asio::async_read(m_socket, asio::buffer(prefix), asio::redirect_error(asio::use_awaitable, failed));
-    if (failed) {
-        close();
-        co_return failure(error_code::Closed, error_step::Receive, m_peer, failed.message());
+    while (true) {
+        const std::string_view unread = unreadBytes();
+        const std::size_t length = unread.size() < LengthBytes ? 0 : frameLength(unread);
+        if (length > m_limits.frameBytes) {
+            close();
+            co_return failure(error_code::TooLarge, error_step::Receive, m_peer, "frame of " + std::to_string(length) + " bytes exceeds the limit");
+        }
+        if (unread.size() >= LengthBytes && unread.size() - LengthBytes >= length) {
+            co_return takeFrame(length);
+        }
+        boost::system::error_code failed;
+        char *const free = makeRoom(std::max(LengthBytes + length - unread.size(), ReadAheadBytes));
+        const std::size_t room = m_received.size() - m_receivedEnd;
+        m_receivedEnd += co_await m_socket.async_read_some(asio::buffer(free, room), asio::redirect_error(asio::use_awaitable, failed));
+        if (failed) {
+            close();
+            co_return failure(error_code::Closed, error_step::Receive, m_peer, failed.message());
+        }
     }
-    const std::size_t length = boost::endian::load_big_u32(prefix);
-    if (length > m_limits.frameBytes) {
-        close();
-        co_return failure(error_code::TooLarge, error_step::Receive, m_peer, "frame of " + std::to_string(length) + " bytes exceeds the limit");
+}
+
+std::string_view frame_connection::unreadBytes() const
+{
+    return std::string_view(m_received).substr(m_receivedStart, m_receivedEnd - m_receivedStart);
+}
+
+char *frame_connection::makeRoom(std::size_t bytes)
+{
+    if (m_received.size() - m_receivedEnd < bytes) {
+        m_received.erase(0, m_receivedStart);
+        m_receivedEnd -= std::exchange(m_receivedStart, 0);
+        m_received.resize(std::max(m_received.size(), m_receivedEnd + bytes));
     }
-    std::string payload(length, '\0');
-    co_await asio::async_read(m_socket, asio::buffer(payload), asio::redirect_error(asio::use_awaitable, failed));
-    if (failed) {
-        close();
-        co_return failure(error_code::Closed, error_step::Receive, m_peer, failed.message());
+    return m_received.data() + m_receivedEnd;
+}
+
+result<message> frame_connection::takeFrame(std::size_t length)
+{
+    BALSAM_ASSERT(unreadBytes().size() >= LengthBytes + length);
+    result<message> decoded = decodeMessage(unreadBytes().substr(LengthBytes, length));
+    m_receivedStart += LengthBytes + length;
+    if (m_receivedStart == m_receivedEnd) {
+        m_receivedStart = 0;
+        m_receivedEnd = 0;
     }
-    result<message> decoded = decodeMessage(payload);
     if (!decoded) {
         close();
-        co_return failure(error_code::Protocol, error_step::Decode, m_peer, decoded.error().message);
+        return failure(error_code::Protocol, error_step::Decode, m_peer, decoded.error().message);
     }
-    co_return decoded;
+    return decoded;
 }
 
 void frame_connection::close()
--- a/wire/frame_connection.h
+++ b/wire/frame_connection.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace balsamhook
 {
@@ -50,11 +51,17 @@
 
 private:
     boost::asio::awaitable<void> writeQueued();
+    std::string_view unreadBytes() const;
+    char *makeRoom(std::size_t bytes);
+    result<message> takeFrame(std::size_t length);
 
     boost::asio::ip::tcp::socket m_socket;
     frame_limits m_limits;
     std::string m_peer;
     std::string m_queued;
+    std::string m_received; ///< Bytes from m_receivedStart to m_receivedEnd wait to be decoded.
+    std::size_t m_receivedStart = 0;
+    std::size_t m_receivedEnd = 0;
     bool m_writing = false;
 };
 
