configuration: implement documents, roots, intents, plans and the confirm decision

Cause: the programs need one strict reading of the configuration and one place that decides about plans.

Change: documents, roots, intents and plans are read by a strict reader that refuses missing, unknown and repeated fields, duplicate names, dangling references and values out of range by field, value and range.

--- a/configuration/configuration.h
+++ b/configuration/configuration.h
@@ -2,6 +2,8 @@
 
 /// Public header of the configuration library: the document, its validation, root and sections, intents and plans.
 
+#include "configuration/confirm.h"
 #include "configuration/document.h"
 #include "configuration/plan.h"
+#include "configuration/plan_machine.h"
 #include "configuration/root.h"
--- /dev/null
+++ b/configuration/plan.cpp
@@ -0,0 +1,336 @@
+#include "configuration/plan.h"
+
+#include "configuration/document_json.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t LongestIdBytes = 128;
+constexpr std::size_t MostTexts = 100000;
+constexpr number_range Revision{0, (std::uint64_t(1) << 53U) - 1};
+constexpr number_range SlotSum{0, UINT32_MAX};
+constexpr std::array<std::string_view, 4> StateNames{"proposed", "confirming", "applied", "refused"};
+
+using target_index = std::map<std::string_view, const target_configuration *>;
+using shard_name = std::pair<std::string, std::string>;
+
+/// The usable replicas of one service.
+struct service_usage
+{
+    std::uint32_t slots = 0;
+    std::map<std::string, std::size_t> replicas; ///< By shard.
+};
+
+target_index indexTargets(const configuration_document &document)
+{
+    target_index index;
+    for (const target_configuration &target : document.targets) {
+        index.emplace(target.name, &target);
+    }
+    return index;
+}
+
+service_usage measureService(const configuration_document &document, const target_index &index, const service_configuration &service)
+{
+    service_usage usage;
+    for (const shard_configuration &shard : service.shards) {
+        std::size_t &replicas = usage.replicas[shard.shard];
+        for (const std::string &name : shard.targets) {
+            const auto target = index.find(name);
+            if (target != index.end() && document.isUsable(*target->second)) {
+                ++replicas;
+                usage.slots += target->second->slots;
+            }
+        }
+    }
+    return usage;
+}
+
+std::map<std::string, service_usage> measure(const configuration_document &document)
+{
+    const target_index index = indexTargets(document);
+    std::map<std::string, service_usage> usages;
+    for (const service_configuration &service : document.services) {
+        usages.emplace(service.name, measureService(document, index, service));
+    }
+    return usages;
+}
+
+std::vector<std::string> shardsWith(std::size_t replicas, const service_usage &usage)
+{
+    std::vector<std::string> shards;
+    for (const auto &[shard, count] : usage.replicas) {
+        if (count == replicas) {
+            shards.push_back(shard);
+        }
+    }
+    return shards;
+}
+
+using usage_map = std::map<std::string, service_usage>;
+
+std::vector<service_preview> makePreview(const usage_map &before, const usage_map &after)
+{
+    std::set<std::string> names;
+    for (const auto &[name, usage] : before) {
+        names.insert(name);
+    }
+    for (const auto &[name, usage] : after) {
+        names.insert(name);
+    }
+    std::vector<service_preview> previews;
+    for (const std::string &name : names) {
+        const auto old = before.find(name);
+        const auto now = after.find(name);
+        const service_usage remaining = now == after.end() ? service_usage() : now->second;
+        const std::uint32_t slotsBefore = old == before.end() ? 0 : old->second.slots;
+        previews.push_back({name, slotsBefore, remaining.slots, shardsWith(0, remaining), shardsWith(1, remaining)});
+    }
+    return previews;
+}
+
+bool hadNoReplica(const usage_map &before, const std::string &service, const std::string &shard)
+{
+    const auto usage = before.find(service);
+    if (usage == before.end()) {
+        return false;
+    }
+    const auto replicas = usage->second.replicas.find(shard);
+    return replicas != usage->second.replicas.end() && replicas->second == 0;
+}
+
+/// Shards that the plan leaves without a usable replica. One that had none before isn't the plan's doing.
+std::vector<shard_name> lostShards(const usage_map &before, const std::vector<service_preview> &previews)
+{
+    std::vector<shard_name> lost;
+    for (const service_preview &preview : previews) {
+        for (const std::string &shard : preview.shardsWithoutReplica) {
+            if (!hadNoReplica(before, preview.service, shard)) {
+                lost.emplace_back(preview.service, shard);
+            }
+        }
+    }
+    return lost;
+}
+
+std::string listShards(const std::vector<shard_name> &shards)
+{
+    constexpr std::size_t MostShown = 5;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(shards.size(), MostShown); ++i) {
+        text += (i == 0 ? "" : ", ") + ("'" + shards[i].first + "' shard '" + shards[i].second + "'");
+    }
+    return shards.size() <= MostShown ? text : text + " and " + std::to_string(shards.size() - MostShown) + " more";
+}
+
+struct override_reader
+{
+    bool operator()(const take_out_data_centre_intent &wanted) const
+    {
+        return wanted.override;
+    }
+
+    bool operator()(const retire_target_intent &wanted) const
+    {
+        return wanted.override;
+    }
+
+    template<class Other>
+    bool operator()(const Other &) const
+    {
+        return false;
+    }
+};
+
+std::string ratio(std::size_t part, std::size_t whole)
+{
+    return std::to_string(part) + " of " + std::to_string(whole);
+}
+
+void warnAboutService(const service_preview &preview, const usage_map &after, std::vector<std::string> &warnings)
+{
+    const auto usage = after.find(preview.service);
+    const std::string subject = "service '" + preview.service + "' ";
+    if (usage == after.end()) {
+        warnings.push_back(subject + "is removed");
+        return;
+    }
+    const std::size_t shards = usage->second.replicas.size();
+    if (!preview.shardsWithoutReplica.empty()) {
+        warnings.push_back(subject + "has " + ratio(preview.shardsWithoutReplica.size(), shards) + " shards without a usable replica");
+    }
+    if (!preview.shardsWithOneReplica.empty()) {
+        warnings.push_back(subject + "has " + ratio(preview.shardsWithOneReplica.size(), shards) + " shards with only one usable replica");
+    }
+    if (preview.slotsAfter < preview.slotsBefore) {
+        warnings.push_back(subject + "keeps " + ratio(preview.slotsAfter, preview.slotsBefore) + " slots");
+    }
+}
+
+std::string digestOf(const std::string &intentJson, std::uint64_t baseRevision, const configuration_document &resulting)
+{
+    return contentHash(jsonText(json::array({intentJson, baseRevision, documentText(resulting)})));
+}
+
+error tooLarge(const std::string &what, std::size_t bytes)
+{
+    return error{error_code::TooLarge,
+                 error_step::Validate,
+                 "",
+                 what + " of " + std::to_string(bytes) + " bytes is not in 0 to " + std::to_string(LargestObjectBytes) + " bytes"};
+}
+
+/// Checks that what confirming has to write fits into objects of the platform.
+result<void> checkSizes(const configuration_document &resulting, const plan &proposed)
+{
+    const json sections = toJson(resulting);
+    for (const auto &[name, section] : sections.items()) {
+        const std::size_t bytes = jsonText(section).size();
+        if (bytes > LargestObjectBytes) {
+            return tooLarge("a section " + name, bytes);
+        }
+    }
+    // The plan grows a little when it is applied or refused.
+    constexpr std::size_t SpareBytes = 4096;
+    const std::size_t bytes = planText(proposed).size() + SpareBytes;
+    if (bytes > LargestObjectBytes) {
+        return tooLarge("a plan", bytes);
+    }
+    return success();
+}
+
+json previewJson(const service_preview &preview)
+{
+    return {{"service", preview.service},
+            {"slots_before", preview.slotsBefore},
+            {"slots_after", preview.slotsAfter},
+            {"shards_without_replica", preview.shardsWithoutReplica},
+            {"shards_with_one_replica", preview.shardsWithOneReplica}};
+}
+
+std::vector<std::string> readTexts(json_reader &reader, const std::string &field)
+{
+    std::vector<std::string> texts;
+    for (const json &value : reader.list(field, MostTexts)) {
+        if (!value.is_string()) {
+            reader.complain(field, "value " + shownValue(value) + " is not a text");
+            return texts;
+        }
+        texts.push_back(value.get<std::string>());
+    }
+    return texts;
+}
+
+service_preview readPreview(const json &value, const std::string &path, complaints &found)
+{
+    json_reader reader(value, path, found);
+    service_preview preview;
+    preview.service = reader.name("service");
+    preview.slotsBefore = static_cast<std::uint32_t>(reader.number("slots_before", SlotSum));
+    preview.slotsAfter = static_cast<std::uint32_t>(reader.number("slots_after", SlotSum));
+    preview.shardsWithoutReplica = readTexts(reader, "shards_without_replica");
+    preview.shardsWithOneReplica = readTexts(reader, "shards_with_one_replica");
+    reader.finish();
+    return preview;
+}
+
+plan_state readState(json_reader &reader)
+{
+    const json &value = reader.any("state");
+    const std::string name = value.is_string() ? value.get<std::string>() : std::string();
+    const auto *const found = std::find(StateNames.begin(), StateNames.end(), name);
+    if (found == StateNames.end()) {
+        reader.complain("state", "value " + shownValue(value) + " is not one of proposed, confirming, applied, refused");
+        return plan_state::Refused;
+    }
+    return static_cast<plan_state>(found - StateNames.begin());
+}
+
+} // namespace
+
+std::string_view nameOf(plan_state state)
+{
+    return StateNames.at(static_cast<std::size_t>(state));
+}
+
+result<plan> makePlan(const configuration_document &current, std::uint64_t baseRevision, const intent &wanted, std::string intentJson, std::string id)
+{
+    BOOST_OUTCOME_TRY(resulting, applyIntent(current, wanted));
+    const usage_map before = measure(current);
+    const usage_map after = measure(resulting);
+    plan proposed;
+    proposed.preview = makePreview(before, after);
+    const std::vector<shard_name> lost = lostShards(before, proposed.preview);
+    if (!lost.empty() && !std::visit(override_reader{}, wanted)) {
+        return failure(error_code::Invalid, error_step::Validate, "", "the plan would leave no usable replica for " + listShards(lost));
+    }
+    proposed.id = std::move(id);
+    proposed.baseRevision = baseRevision;
+    proposed.steps = describeChanges(current, resulting);
+    if (proposed.steps.empty()) {
+        proposed.warnings.emplace_back("the plan changes nothing");
+    }
+    for (const service_preview &preview : proposed.preview) {
+        warnAboutService(preview, after, proposed.warnings);
+    }
+    proposed.digest = digestOf(intentJson, baseRevision, resulting);
+    proposed.intentJson = std::move(intentJson);
+    BOOST_OUTCOME_TRY(checkSizes(resulting, proposed));
+    return proposed;
+}
+
+result<plan> parsePlan(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(value, parseStrictJson(text));
+    complaints found;
+    json_reader reader(value, "", found);
+    plan proposed;
+    proposed.id = reader.text("plan", LongestIdBytes);
+    proposed.intentJson = reader.text("intent", LargestObjectBytes);
+    proposed.baseRevision = reader.number("base_revision", Revision);
+    proposed.revision = reader.number("revision", Revision);
+    proposed.state = readState(reader);
+    proposed.digest = reader.text("digest", LongestIdBytes);
+    proposed.steps = readTexts(reader, "steps");
+    const json &previews = reader.list("preview", MostTexts);
+    for (std::size_t i = 0; i < previews.size(); ++i) {
+        proposed.preview.push_back(readPreview(previews[i], "preview[" + std::to_string(i) + "]", found));
+    }
+    proposed.warnings = readTexts(reader, "warnings");
+    proposed.refusal = reader.text("refusal", LargestObjectBytes);
+    reader.finish();
+    if (!found.isEmpty()) {
+        return found.first();
+    }
+    return proposed;
+}
+
+std::string planText(const plan &proposed)
+{
+    json previews = json::array();
+    for (const service_preview &preview : proposed.preview) {
+        previews.push_back(previewJson(preview));
+    }
+    const json value = {{"plan", proposed.id},
+                        {"intent", proposed.intentJson},
+                        {"base_revision", proposed.baseRevision},
+                        {"revision", proposed.revision},
+                        {"state", nameOf(proposed.state)},
+                        {"digest", proposed.digest},
+                        {"steps", proposed.steps},
+                        {"preview", std::move(previews)},
+                        {"warnings", proposed.warnings},
+                        {"refusal", proposed.refusal}};
+    return jsonText(value);
+}
+
+} // namespace balsamhook
--- a/configuration/plan.h
+++ b/configuration/plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration/document.h"
+#include "configuration/plan_state.h"
 
 #include <optional>
 #include <variant>
@@ -66,13 +67,6 @@
     std::vector<std::string> shardsWithOneReplica;
 };
 
-enum class plan_state : std::uint8_t {
-    Proposed,
-    Confirming, ///< The root update was sent, its outcome isn't known yet.
-    Applied,
-    Refused, ///< The base revision was stale, or the operator was refused.
-};
-
 struct plan
 {
     std::string id;
@@ -93,6 +87,9 @@
 /// Makes a plan with steps, preview, warnings and digest. Invalid when the plan would leave a shard without a usable replica and the intent has no override.
 result<plan> makePlan(const configuration_document &current, std::uint64_t baseRevision, const intent &wanted, std::string intentJson, std::string id);
 
+/// Returns the name of a state as in the JSON of a plan.
+std::string_view nameOf(plan_state state);
+
 result<plan> parsePlan(std::string_view json);
 std::string planText(const plan &proposed);
 
