--- /dev/null
+++ b/membership/entitlement_machine.cpp
@@ -0,0 +1,148 @@
+#include "membership/entitlement_machine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+namespace msm = boost::msm;
+namespace front = boost::msm::front;
+using front::none;
+using front::Row;
+
+struct lease_held
+{
+};
+struct majority_held
+{
+};
+struct nothing_held
+{
+};
+struct handed_over
+{
+};
+
+struct starting_state : front::state<>
+{
+};
+struct lease_state : front::state<>
+{
+};
+struct majority_state : front::state<>
+{
+};
+struct expired_state : front::state<>
+{
+};
+struct left_state : front::state<>
+{
+};
+
+struct entitlement_definition : front::state_machine_def<entitlement_definition>
+{
+    using initial_state = starting_state;
+
+    // clang-format off
+    struct transition_table : boost::mpl::vector<
+        Row<starting_state, lease_held,    lease_state,    none, none>,
+        Row<starting_state, majority_held, majority_state, none, none>,
+        Row<starting_state, handed_over,   left_state,     none, none>,
+        Row<lease_state,    majority_held, majority_state, none, none>,
+        Row<lease_state,    nothing_held,  expired_state,  none, none>,
+        Row<lease_state,    handed_over,   left_state,     none, none>,
+        Row<majority_state, lease_held,    lease_state,    none, none>,
+        Row<majority_state, nothing_held,  expired_state,  none, none>,
+        Row<majority_state, handed_over,   left_state,     none, none>,
+        Row<expired_state,  lease_held,    lease_state,    none, none>,
+        Row<expired_state,  majority_held, majority_state, none, none>,
+        Row<expired_state,  handed_over,   left_state,     none, none>
+    > {};
+    // clang-format on
+
+    /// Events that don't change the state.
+    template<class Machine, class Event>
+    void no_transition(const Event &, Machine &, int)
+    {
+    }
+};
+
+using backend = msm::back::state_machine<entitlement_definition>;
+
+template<class State>
+bool isIn(const backend &machine)
+{
+    return machine.current_state()[0] == msm::back::get_state_id<backend::stt, State>::value;
+}
+
+} // namespace
+
+struct entitlement_machine::table
+{
+    backend machine;
+};
+
+entitlement_machine::entitlement_machine()
+    : m_table(std::make_unique<table>())
+{
+    m_table->machine.start();
+}
+
+entitlement_machine::~entitlement_machine() = default;
+
+void entitlement_machine::update(bool hasLease, bool hasMajority)
+{
+    if (hasLease) {
+        m_table->machine.process_event(lease_held());
+        return;
+    }
+    if (hasMajority) {
+        m_table->machine.process_event(majority_held());
+        return;
+    }
+    m_table->machine.process_event(nothing_held());
+}
+
+void entitlement_machine::leave()
+{
+    m_table->machine.process_event(handed_over());
+}
+
+entitlement_state entitlement_machine::state() const
+{
+    const backend &machine = m_table->machine;
+    if (isIn<lease_state>(machine)) {
+        return entitlement_state::EntitledByLease;
+    }
+    if (isIn<majority_state>(machine)) {
+        return entitlement_state::EntitledByMajority;
+    }
+    if (isIn<expired_state>(machine)) {
+        return entitlement_state::Expired;
+    }
+    return isIn<left_state>(machine) ? entitlement_state::Left : entitlement_state::Starting;
+}
+
+std::string_view nameOf(entitlement_state state)
+{
+    switch (state) {
+    case entitlement_state::Starting:
+        return "starting";
+    case entitlement_state::EntitledByLease:
+        return "entitled by lease";
+    case entitlement_state::EntitledByMajority:
+        return "entitled by majority";
+    case entitlement_state::Expired:
+        return "expired";
+    case entitlement_state::Left:
+        return "left";
+    }
+    return "unknown";
+}
+
+} // namespace balsamhook
--- /dev/null
+++ b/membership/membership_node.cpp
@@ -0,0 +1,838 @@
+#include "membership/membership_node.h"
+
+#include <algorithm>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+constexpr std::size_t DocumentsKept = 8;
+constexpr std::chrono::seconds PeerMemory{60};
+/// An instance this long silent is no longer pinged when it isn't a member.
+constexpr std::chrono::seconds JoinerMemory{3};
+const std::string ListObject = "members/list";
+
+/// Number of removal declarations among n voters that rules out a majority of acknowledgements. A list of one member has no majority.
+std::size_t removalQuorum(std::size_t voters)
+{
+    return voters <= 1 ? 0 : voters - voters / 2;
+}
+
+} // namespace
+
+membership_node::membership_node(member_entry self, std::string incarnation, membership_settings values, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_incarnation(std::move(incarnation))
+    , m_settings(values)
+    , m_random(seed)
+    , m_guard(m_self.instance)
+{
+    m_sequence = firstSequence(m_incarnation);
+    m_documents[0] = std::make_shared<configuration_document>();
+}
+
+std::uint64_t membership_node::firstSequence(const std::string &incarnation) const
+{
+    // 2^20 heartbeats of 500 ms are six days; ranges of incarnations overlap with a probability of 2^-40 for each pair after that or before.
+    constexpr unsigned RangeBits = 20;
+    constexpr unsigned UnusedBits = 24;
+    return (stableHash(incarnation) >> UnusedBits) << RangeBits;
+}
+
+bool membership_node::hasOutlivedFormer(std::uint64_t sequence, const std::string &incarnation) const
+{
+    const auto heartbeats = static_cast<std::uint64_t>((m_settings.lease + m_settings.drift) / m_settings.heartbeat) + 1;
+    return sequence - firstSequence(incarnation) > heartbeats;
+}
+
+// --- queries
+
+const member_list &membership_node::list() const
+{
+    return m_list;
+}
+
+const member_list *membership_node::pendingList() const
+{
+    return m_pending ? &*m_pending : nullptr;
+}
+
+const std::string &membership_node::incarnation() const
+{
+    return m_incarnation;
+}
+
+bool membership_node::isMember() const
+{
+    return m_list.contains(m_self.instance, m_incarnation);
+}
+
+const owner_map &membership_node::owners() const
+{
+    return m_guard.owners();
+}
+
+entitlement_state membership_node::state() const
+{
+    return m_machine.state();
+}
+
+const membership_node::peer_state *membership_node::listedPeer(const listed_member &member) const
+{
+    const auto found = m_peers.find({member.entry.instance, member.incarnation});
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+std::optional<boot_clock::time_point> membership_node::sentAt(std::uint64_t sequence) const
+{
+    for (const auto &[sent, time] : m_sent) {
+        if (sent == sequence) {
+            return time;
+        }
+    }
+    return std::nullopt;
+}
+
+bool membership_node::isAlive(std::string_view instance, boot_clock::time_point now) const
+{
+    if (instance == m_self.instance) {
+        return true;
+    }
+    const listed_member *member = m_list.find(instance);
+    const peer_state *peer = member == nullptr ? nullptr : listedPeer(*member);
+    return peer != nullptr && !peer->left && now - std::max(peer->heardAt, peer->indirectAt) <= m_settings.aliveAfter;
+}
+
+std::vector<const listed_member *> membership_node::ranking(boot_clock::time_point now) const
+{
+    std::vector<const listed_member *> live;
+    for (const listed_member &member : m_list.members) {
+        const bool isSelf = member.entry.instance == m_self.instance;
+        if (isSelf ? isMember() : isAlive(member.entry.instance, now)) {
+            live.push_back(&member);
+        }
+    }
+    return live;
+}
+
+const listed_member *membership_node::reporterOf(const std::string &dataCentre, boot_clock::time_point now) const
+{
+    for (const listed_member *member : ranking(now)) {
+        if (member->entry.dataCentre == dataCentre) {
+            return member;
+        }
+    }
+    return nullptr;
+}
+
+bool membership_node::isRankedInDataCentre(std::size_t count, boot_clock::time_point now) const
+{
+    std::size_t rank = 0;
+    for (const listed_member *member : ranking(now)) {
+        if (member->entry.dataCentre != m_self.dataCentre) {
+            continue;
+        }
+        if (member->entry.instance == m_self.instance) {
+            return rank < count;
+        }
+        ++rank;
+    }
+    return false;
+}
+
+bool membership_node::isController(boot_clock::time_point now) const
+{
+    const auto live = ranking(now);
+    if (!live.empty()) {
+        return live.front()->entry.instance == m_self.instance && isMember();
+    }
+    // Nobody of the list is left; any joining instance may write it, conditionally on what it read.
+    return m_list.version == 0 || hasOutlivedFormer(m_sequence, m_incarnation);
+}
+
+std::uint64_t membership_node::appliedRevision(std::string_view instance) const
+{
+    if (instance == m_self.instance) {
+        return m_appliedRevision;
+    }
+    const listed_member *member = m_list.find(instance);
+    const peer_state *peer = member == nullptr ? nullptr : listedPeer(*member);
+    return peer == nullptr ? 0 : peer->appliedRevision;
+}
+
+membership_node::newer_state membership_node::newestHeard(boot_clock::time_point now) const
+{
+    newer_state newest;
+    for (const auto &[key, peer] : m_peers) {
+        if (now - peer.heardAt > m_settings.aliveAfter) {
+            continue;
+        }
+        if (peer.appliedRevision > newest.revision) {
+            newest.revision = peer.appliedRevision;
+            newest.revisionPeer = peer.entry.controlEndpoint;
+        }
+        if (peer.appliedListVersion > newest.listVersion) {
+            newest.listVersion = peer.appliedListVersion;
+            newest.listPeer = peer.entry.controlEndpoint;
+        }
+    }
+    return newest;
+}
+
+std::size_t membership_node::heardWithin(std::chrono::milliseconds time, boot_clock::time_point now) const
+{
+    std::size_t heard = 0;
+    for (const listed_member &member : m_list.members) {
+        const peer_state *peer = listedPeer(member);
+        const bool isSelf = member.entry.instance == m_self.instance;
+        heard += isSelf || (peer != nullptr && now - peer->heardAt <= time) ? 1 : 0;
+    }
+    return heard;
+}
+
+boot_clock::time_point membership_node::majorityUntil(boot_clock::time_point now) const
+{
+    const std::size_t needed = m_list.members.size() / 2 + 1;
+    if (m_list.members.size() <= 1) {
+        return {};
+    }
+    std::vector<boot_clock::time_point> acknowledged{now};
+    for (const listed_member &member : m_list.members) {
+        const peer_state *peer = listedPeer(member);
+        if (member.entry.instance != m_self.instance && peer != nullptr && peer->acknowledged != boot_clock::time_point()) {
+            acknowledged.push_back(peer->acknowledged);
+        }
+    }
+    if (acknowledged.size() < needed) {
+        return {};
+    }
+    std::sort(acknowledged.begin(), acknowledged.end(), std::greater<>());
+    return acknowledged[needed - 1] + m_settings.lease;
+}
+
+boot_clock::time_point membership_node::entitledUntil(boot_clock::time_point now) const
+{
+    if (m_left || !isMember()) {
+        return {};
+    }
+    return std::max(m_leaseUntil, majorityUntil(now));
+}
+
+void membership_node::updateState(boot_clock::time_point now)
+{
+    const bool canAct = !m_left && isMember();
+    m_machine.update(canAct && m_leaseUntil > now, canAct && majorityUntil(now) > now);
+}
+
+std::vector<std::string> membership_node::actionable() const
+{
+    if (!isMember() || m_left) {
+        return {};
+    }
+    std::map<std::string, std::uint64_t, std::less<>> confirmed;
+    for (const listed_member &member : m_list.members) {
+        const peer_state *peer = listedPeer(member);
+        confirmed[member.entry.instance] = peer == nullptr ? 0 : peer->appliedListVersion;
+    }
+    return m_guard.actionable(confirmed);
+}
+
+bool membership_node::mayAcknowledge(const std::string &instance, const std::string &incarnation) const
+{
+    return isMember() && m_list.contains(instance, incarnation) && m_dead.count(instance) == 0;
+}
+
+// --- events
+
+void membership_node::receive(const gossip &datagram, boot_clock::time_point now)
+{
+    const std::string &instance = datagram.sender.instance;
+    const bool isOwnFormerIncarnation = instance == m_self.instance;
+    if (isOwnFormerIncarnation) {
+        return;
+    }
+    peer_state &peer = m_peers[{instance, datagram.incarnation}];
+    if (datagram.sequence > peer.sequence) {
+        // Datagrams may arrive out of order; the newest one tells the addresses and whether the peer is leaving.
+        peer.entry = datagram.sender;
+        peer.incarnation = datagram.incarnation;
+        peer.sequence = datagram.sequence;
+        peer.heardAt = now;
+    }
+    takeStatements(datagram, peer, now);
+}
+
+void membership_node::takeStatements(const gossip &datagram, peer_state &peer, boot_clock::time_point now)
+{
+    peer.appliedRevision = std::max(peer.appliedRevision, datagram.appliedRevision);
+    peer.appliedListVersion = std::max(peer.appliedListVersion, datagram.appliedMemberListVersion);
+    if (const auto sent = sentAt(datagram.acknowledgedSequence)) {
+        peer.acknowledged = std::max(peer.acknowledged, *sent);
+    }
+    confirmLease(datagram.leaseSequence);
+    for (const rumour &heard : datagram.rumours) {
+        takeRumour(heard, peer, now);
+    }
+}
+
+void membership_node::takeRumour(const rumour &heard, peer_state &from, boot_clock::time_point now)
+{
+    if (heard.state == member_state::Dead) {
+        if (heard.instance == from.entry.instance && heard.incarnation == from.incarnation) {
+            from.left = true;
+            return;
+        }
+        auto &declared = from.declaredDead[heard.instance];
+        if (heard.sequence >= declared.second) {
+            declared = {heard.incarnation, heard.sequence};
+        }
+        return;
+    }
+    const auto known = m_peers.find({heard.instance, heard.incarnation});
+    if (known != m_peers.end() && heard.sequence > std::max(known->second.sequence, known->second.indirectSequence)) {
+        known->second.indirectSequence = heard.sequence;
+        known->second.indirectAt = now;
+    }
+}
+
+void membership_node::confirmLease(std::uint64_t sequence)
+{
+    if (const auto sent = sentAt(sequence)) {
+        m_leaseUntil = std::max(m_leaseUntil, *sent + m_settings.lease);
+    }
+}
+
+void membership_node::objectRead(const std::string &kind, const std::string &name, const std::optional<stored_object> &object, boot_clock::time_point now)
+{
+    m_busyObjects.erase(kind + "/" + name);
+    if (kind == "leases") {
+        readLeases(name, object, now);
+        return;
+    }
+    if (!object) {
+        m_listObjectVersion = 0;
+        m_storedListVersion = 0;
+        return;
+    }
+    const auto parsed = parseMemberList(object->value);
+    if (!parsed) {
+        logError("control", "member list of the store can't be read: " + describe(parsed.error()));
+        return;
+    }
+    m_listObjectVersion = object->version;
+    m_storedListVersion = parsed.value().version;
+    offerList(parsed.value(), now);
+}
+
+void membership_node::storeFailed(const std::string &kind, const std::string &name)
+{
+    m_busyObjects.erase(kind + "/" + name);
+}
+
+void membership_node::readLeases(const std::string &dataCentre, const std::optional<stored_object> &object, boot_clock::time_point now)
+{
+    lease_object &known = m_leaseObjects[dataCentre];
+    const std::uint64_t version = object ? object->version : 0;
+    if (known.version && version < *known.version) {
+        return;
+    }
+    lease_table leases;
+    if (object) {
+        auto parsed = parseLeases(object->value);
+        if (!parsed) {
+            logError("control", "leases of " + dataCentre + " can't be read: " + describe(parsed.error()));
+            return;
+        }
+        leases = std::move(parsed.value());
+    }
+    known = {version, std::move(leases)};
+    for (const listed_member &member : m_list.members) {
+        if (member.entry.dataCentre != dataCentre) {
+            continue;
+        }
+        const lease_entry value = known.leases.find(member.entry.instance, member.incarnation);
+        const auto observed = m_observed.find(member.entry.instance);
+        const bool isUnchanged
+            = observed != m_observed.end() && observed->second.value.incarnation == value.incarnation && observed->second.value.sequence == value.sequence;
+        if (isUnchanged) {
+            observed->second.value = value;
+        } else {
+            m_observed[member.entry.instance] = {value, now};
+        }
+        if (member.entry.instance == m_self.instance && value.incarnation == m_incarnation) {
+            confirmLease(value.sequence);
+        }
+    }
+}
+
+void membership_node::offerList(const member_list &list, boot_clock::time_point now)
+{
+    const std::uint64_t newest = m_pending ? m_pending->version : m_list.version;
+    if (list.version > newest) {
+        m_pending = list;
+    }
+    adoptPending(now);
+}
+
+void membership_node::provideDocument(std::uint64_t revision, document_pointer document, boot_clock::time_point now)
+{
+    m_documents[revision] = std::move(document);
+    while (m_documents.size() > DocumentsKept) {
+        // Revision 0 is the empty configuration, always available.
+        m_documents.erase(std::next(m_documents.begin()));
+    }
+    adoptPending(now);
+}
+
+void membership_node::adoptPending(boot_clock::time_point now)
+{
+    if (!m_pending) {
+        return;
+    }
+    const auto document = m_documents.find(m_pending->revision);
+    if (document == m_documents.end()) {
+        return;
+    }
+    const bool wasMember = isMember();
+    m_list = std::move(*m_pending);
+    m_pending.reset();
+    m_guard.advance(m_list, assignTargets(m_list.entries(), *document->second));
+    m_dead.clear();
+    m_adoptedAt = now;
+    std::map<peer_key, boot_clock::time_point> listedSince;
+    for (const listed_member &member : m_list.members) {
+        const peer_key key{member.entry.instance, member.incarnation};
+        const auto known = m_listedSince.find(key);
+        listedSince[key] = known == m_listedSince.end() ? now : known->second;
+    }
+    m_listedSince = std::move(listedSince);
+    if (wasMember && !isMember()) {
+        startNewIncarnation();
+    }
+}
+
+/// A removed member joins again as a new incarnation: an acknowledgement or a lease of the new membership must not extend the old one.
+void membership_node::startNewIncarnation()
+{
+    ++m_restarts;
+    m_incarnation += "." + std::to_string(m_restarts);
+    m_sequence = firstSequence(m_incarnation);
+    m_sent.clear();
+    m_leaseUntil = {};
+    m_appliedListVersion = 0;
+    for (auto &[key, peer] : m_peers) {
+        peer.acknowledged = {};
+    }
+}
+
+void membership_node::setNewestRoot(std::uint64_t revision, std::string root)
+{
+    if (revision > m_newestRevision) {
+        m_newestRevision = revision;
+        m_newestRoot = std::move(root);
+    }
+}
+
+void membership_node::setApplied(std::uint64_t revision, std::uint64_t listVersion)
+{
+    m_appliedRevision = std::max(m_appliedRevision, revision);
+    if (isMember()) {
+        m_appliedListVersion = std::max(m_appliedListVersion, std::min(listVersion, m_list.version));
+    }
+}
+
+void membership_node::startLeaving()
+{
+    m_self.leaving = true;
+}
+
+void membership_node::finishLeaving()
+{
+    m_left = true;
+    m_machine.leave();
+}
+
+// --- periodic work
+
+std::vector<membership_action> membership_node::tick(boot_clock::time_point now)
+{
+    if (m_lastTick && now - *m_lastTick < m_settings.heartbeat) {
+        return {};
+    }
+    // After a pause of this process nobody was heard for a reason that has nothing to do with the others.
+    const bool wasPaused = m_lastTick && now - *m_lastTick > m_settings.aliveAfter;
+    if (wasPaused) {
+        m_resumedAt = now;
+    }
+    m_lastTick = now;
+    ++m_sequence;
+    m_sent.emplace_back(m_sequence, now);
+    while (now - m_sent.front().second > m_settings.lease) {
+        m_sent.pop_front();
+    }
+    declareDeaths(now);
+    forgetOldPeers(now);
+    updateState(now);
+
+    std::vector<membership_action> actions;
+    for (const std::string &peerEndpoint : gossipTargets(now)) {
+        actions.push_back(send_gossip{peerEndpoint, datagramFor(peerEndpoint, now)});
+    }
+    // Revocations first: an object takes one call at a time, and the renewal of the same object can wait for the next period.
+    if (isController(now) && !m_left) {
+        revokeLeases(actions, now);
+    }
+    renewLeases(actions, now);
+    maintainList(actions, now);
+    return actions;
+}
+
+void membership_node::declareDeaths(boot_clock::time_point now)
+{
+    if (!isMember()) {
+        return;
+    }
+    for (const listed_member &member : m_list.members) {
+        if (member.entry.instance == m_self.instance) {
+            continue;
+        }
+        const peer_state *peer = listedPeer(member);
+        const auto listed = m_listedSince.find({member.entry.instance, member.incarnation});
+        BALSAM_ASSERT(listed != m_listedSince.end());
+        const auto heard = std::max({m_resumedAt, listed->second, peer == nullptr ? boot_clock::time_point() : peer->heardAt});
+        if (now - heard > m_settings.lease + m_settings.drift) {
+            m_dead[member.entry.instance] = member.incarnation;
+        }
+    }
+}
+
+void membership_node::forgetOldPeers(boot_clock::time_point now)
+{
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        const bool isOld = now - peer->second.heardAt > PeerMemory && !m_list.contains(peer->first.first, peer->first.second);
+        peer = isOld ? m_peers.erase(peer) : std::next(peer);
+    }
+}
+
+std::vector<std::string> membership_node::gossipTargets(boot_clock::time_point now)
+{
+    std::set<std::string> targets;
+    std::vector<std::string> members;
+    for (const listed_member &member : m_list.members) {
+        if (member.entry.instance != m_self.instance) {
+            members.push_back(member.entry.gossipEndpoint);
+        }
+    }
+    if (members.size() > m_settings.fullPeers) {
+        std::shuffle(members.begin(), members.end(), m_random);
+        members.resize(m_settings.randomPeers);
+        const auto live = ranking(now);
+        const listed_member *reporter = reporterOf(m_self.dataCentre, now);
+        for (const listed_member *important : {live.empty() ? nullptr : live.front(), reporter}) {
+            if (important != nullptr && important->entry.instance != m_self.instance) {
+                targets.insert(important->entry.gossipEndpoint);
+            }
+        }
+    }
+    targets.insert(members.begin(), members.end());
+    for (const auto &[key, peer] : m_peers) {
+        if (now - peer.heardAt < JoinerMemory && m_list.find(key.first) == nullptr) {
+            targets.insert(peer.entry.gossipEndpoint);
+        }
+    }
+    return {targets.begin(), targets.end()};
+}
+
+gossip membership_node::datagramFor(const std::string &peerEndpoint, boot_clock::time_point now)
+{
+    gossip datagram;
+    datagram.sender = m_self;
+    datagram.incarnation = m_incarnation;
+    datagram.sequence = m_sequence;
+    datagram.appliedRevision = m_appliedRevision;
+    datagram.appliedMemberListVersion = m_appliedListVersion;
+    for (const listed_member &member : m_list.members) {
+        if (member.entry.gossipEndpoint != peerEndpoint || member.entry.instance == m_self.instance) {
+            continue;
+        }
+        const peer_state *peer = listedPeer(member);
+        if (peer != nullptr && mayAcknowledge(member.entry.instance, member.incarnation)) {
+            datagram.acknowledgedSequence = peer->sequence;
+        }
+        const auto leases = m_leaseObjects.find(member.entry.dataCentre);
+        if (leases != m_leaseObjects.end()) {
+            datagram.leaseSequence = leases->second.leases.find(member.entry.instance, member.incarnation).sequence;
+        }
+    }
+    addRumours(datagram, now);
+    return datagram;
+}
+
+void membership_node::addRumours(gossip &datagram, boot_clock::time_point now)
+{
+    if (m_left) {
+        datagram.rumours.push_back({m_self.instance, m_incarnation, member_state::Dead, m_sequence});
+    }
+    const std::size_t count = m_list.members.size();
+    // A random start makes sure that all rumours get their turn when they don't fit into one datagram.
+    const std::size_t start = count == 0 ? 0 : m_random() % count;
+    for (std::size_t i = 0; i < count && datagram.rumours.size() < m_settings.rumours; ++i) {
+        const auto dead = m_dead.find(m_list.members[(start + i) % count].entry.instance);
+        if (dead != m_dead.end()) {
+            datagram.rumours.push_back({dead->first, dead->second, member_state::Dead, m_list.version});
+        }
+    }
+    for (std::size_t i = 0; i < count && datagram.rumours.size() < m_settings.rumours; ++i) {
+        const listed_member &member = m_list.members[(start + i) % count];
+        const peer_state *peer = listedPeer(member);
+        if (peer != nullptr && m_dead.count(member.entry.instance) == 0) {
+            const auto state = isAlive(member.entry.instance, now) ? member_state::Alive : member_state::Suspect;
+            datagram.rumours.push_back({member.entry.instance, member.incarnation, state, std::max(peer->sequence, peer->indirectSequence)});
+        }
+    }
+}
+
+void membership_node::add(std::vector<membership_action> &actions, membership_action action)
+{
+    const std::string object = std::visit(
+        [](const auto &call) -> std::string {
+            if constexpr (std::is_same_v<std::decay_t<decltype(call)>, send_gossip>) {
+                return {};
+            } else {
+                return call.kind + "/" + call.name;
+            }
+        },
+        action);
+    if (m_busyObjects.insert(object).second) {
+        actions.push_back(std::move(action));
+    }
+}
+
+// --- leases
+
+void membership_node::renewLeases(std::vector<membership_action> &actions, boot_clock::time_point now)
+{
+    const listed_member *reporter = reporterOf(m_self.dataCentre, now);
+    if (reporter == nullptr || reporter->entry.instance != m_self.instance) {
+        return;
+    }
+    const lease_object &known = m_leaseObjects[m_self.dataCentre];
+    if (!known.version) {
+        add(actions, read_object{"leases", m_self.dataCentre});
+        return;
+    }
+    if (known.leases.listVersion > m_list.version) {
+        // Members that the newer list doesn't have must not be renewed. Reads until the newer list is adopted.
+        add(actions, read_object{"leases", m_self.dataCentre});
+        return;
+    }
+    lease_table leases;
+    leases.listVersion = m_list.version;
+    for (const listed_member &member : m_list.members) {
+        if (member.entry.dataCentre != m_self.dataCentre) {
+            continue;
+        }
+        lease_entry lease = known.leases.find(member.entry.instance, member.incarnation);
+        const peer_state *peer = listedPeer(member);
+        const std::uint64_t heard = member.entry.instance == m_self.instance ? m_sequence : (peer == nullptr ? 0 : peer->sequence);
+        // A list that is newer than the revocation still contains the member, so no removal can follow from the revocation.
+        const bool mayRenew = lease.revokedAt < m_list.version;
+        if (mayRenew && heard > lease.sequence) {
+            lease = {member.incarnation, heard, 0};
+        }
+        leases.entries[member.entry.instance] = lease;
+    }
+    add(actions, write_object{"leases", m_self.dataCentre, *known.version, leasesText(leases)});
+}
+
+bool membership_node::hasLeaseExpired(const listed_member &member, boot_clock::time_point now) const
+{
+    const auto observed = m_observed.find(member.entry.instance);
+    return observed != m_observed.end() && observed->second.value.incarnation == member.incarnation
+        && now - observed->second.since > m_settings.lease + m_settings.drift;
+}
+
+bool membership_node::isRevoked(const listed_member &member) const
+{
+    const auto observed = m_observed.find(member.entry.instance);
+    return observed != m_observed.end() && observed->second.value.incarnation == member.incarnation && observed->second.value.revokedAt == m_list.version;
+}
+
+void membership_node::revokeLeases(std::vector<membership_action> &actions, boot_clock::time_point now)
+{
+    std::map<std::string, lease_table> revoked;
+    for (const listed_member &member : m_list.members) {
+        const std::string &dataCentre = member.entry.dataCentre;
+        const auto object = m_leaseObjects.find(dataCentre);
+        const bool isWritable = object != m_leaseObjects.end() && object->second.version && object->second.leases.listVersion <= m_list.version;
+        if (!isWritable || isRevoked(member) || !hasLeaseExpired(member, now) || !hasRemovalConsent(member)) {
+            continue;
+        }
+        lease_table &leases = revoked.try_emplace(dataCentre, object->second.leases).first->second;
+        lease_entry lease = leases.find(member.entry.instance, member.incarnation);
+        lease.revokedAt = m_list.version;
+        leases.entries[member.entry.instance] = lease;
+        leases.listVersion = m_list.version;
+    }
+    for (const auto &[dataCentre, leases] : revoked) {
+        add(actions, write_object{"leases", dataCentre, *m_leaseObjects[dataCentre].version, leasesText(leases)});
+    }
+}
+
+// --- member list
+
+bool membership_node::hasConsented(const std::string &voter, const listed_member &about) const
+{
+    if (voter == m_self.instance) {
+        const auto dead = m_dead.find(about.entry.instance);
+        const bool declared = dead != m_dead.end() && dead->second == about.incarnation;
+        return isMember() ? declared : hasOutlivedFormer(m_sequence, m_incarnation);
+    }
+    const listed_member *listed = m_list.find(voter);
+    for (auto peer = m_peers.lower_bound({voter, ""}); peer != m_peers.end() && peer->first.first == voter; ++peer) {
+        const peer_state &state = peer->second;
+        const auto declared = state.declaredDead.find(about.entry.instance);
+        const bool isListed = listed != nullptr && listed->incarnation == state.incarnation;
+        if (isListed && declared != state.declaredDead.end() && declared->second == std::pair{about.incarnation, m_list.version}) {
+            return true;
+        }
+        // A later incarnation of a listed instance: the listed one ended before this one started, and acknowledges nothing any more.
+        const bool isLater = listed != nullptr && !isListed && state.appliedListVersion == 0;
+        if (isLater && hasOutlivedFormer(state.sequence, state.incarnation)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t membership_node::countConsents(const listed_member &member, const std::vector<std::string> &voters) const
+{
+    return static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [&](const std::string &voter) { return hasConsented(voter, member); }));
+}
+
+bool membership_node::hasRemovalConsent(const listed_member &member) const
+{
+    std::vector<std::string> voters;
+    voters.reserve(m_list.members.size());
+    for (const listed_member &voter : m_list.members) {
+        voters.push_back(voter.entry.instance);
+    }
+    if (countConsents(member, voters) < removalQuorum(voters.size())) {
+        return false;
+    }
+    const peer_state *peer = listedPeer(member);
+    const bool hasConfirmed = member.joined == m_list.version || (peer != nullptr && peer->appliedListVersion >= m_list.version);
+    return hasConfirmed || countConsents(member, m_list.previous) >= removalQuorum(m_list.previous.size());
+}
+
+bool membership_node::isRemovable(const listed_member &member) const
+{
+    const peer_state *peer = listedPeer(member);
+    const bool hasLeft = peer != nullptr && peer->left;
+    return hasLeft || (isRevoked(member) && hasRemovalConsent(member));
+}
+
+bool membership_node::needsReinstatement(boot_clock::time_point now) const
+{
+    // Time for a removal that is under way, so that the list isn't written twice.
+    const auto patience = 2 * (m_settings.lease + m_settings.drift);
+    if (now - m_adoptedAt < patience) {
+        return false;
+    }
+    return std::any_of(m_list.members.begin(), m_list.members.end(), [&](const listed_member &member) {
+        const bool isSelf = member.entry.instance == m_self.instance && isMember();
+        const peer_state *peer = listedPeer(member);
+        const bool isHeard = isSelf || (peer != nullptr && now - peer->heardAt <= m_settings.aliveAfter);
+        return isHeard && !isRemovable(member) && (isRevoked(member) || hasRemovalConsent(member));
+    });
+}
+
+member_list membership_node::nextList(boot_clock::time_point now) const
+{
+    member_list next;
+    next.version = m_list.version + 1;
+    next.revision = std::max(m_newestRevision, m_list.revision);
+    next.root = m_newestRevision > m_list.revision ? m_newestRoot : m_list.root;
+    for (const listed_member &member : m_list.members) {
+        next.previous.push_back(member.entry.instance);
+        if (isRemovable(member)) {
+            continue;
+        }
+        listed_member kept = member;
+        const peer_state *peer = listedPeer(member);
+        const bool isSelf = member.entry.instance == m_self.instance && member.incarnation == m_incarnation;
+        kept.entry.leaving = member.entry.leaving || (isSelf ? m_self.leaving : peer != nullptr && peer->entry.leaving);
+        next.members.push_back(std::move(kept));
+    }
+    const auto join = [&](const member_entry &entry, const std::string &incarnation) {
+        if (next.find(entry.instance) == nullptr) {
+            next.members.push_back({entry, incarnation, next.version});
+        }
+    };
+    if (!isMember() && !m_left && !m_self.leaving) {
+        join(m_self, m_incarnation);
+    }
+    for (const auto &[key, peer] : m_peers) {
+        // A member that was removed and doesn't know it yet reports a list version; it must not come back under the same incarnation.
+        const bool isJoining = peer.appliedListVersion == 0 && !m_list.contains(key.first, key.second) && !peer.left && !peer.entry.leaving;
+        if (isJoining && now - peer.heardAt <= m_settings.aliveAfter) {
+            join(peer.entry, peer.incarnation);
+        }
+    }
+    std::sort(next.members.begin(), next.members.end(), [](const listed_member &left, const listed_member &right) {
+        return left.entry.instance < right.entry.instance;
+    });
+    for (listed_member &member : next.members) {
+        member.entry.alive = true;
+    }
+    return next;
+}
+
+void membership_node::maintainList(std::vector<membership_action> &actions, boot_clock::time_point now)
+{
+    if (m_left) {
+        return;
+    }
+    if (!isController(now)) {
+        // A joining instance learns from the store whom to ask.
+        if (!isMember()) {
+            add(actions, read_object{"members", "list"});
+        }
+        return;
+    }
+    std::set<std::string> dataCentres;
+    for (const listed_member &member : m_list.members) {
+        dataCentres.insert(member.entry.dataCentre);
+    }
+    for (const std::string &dataCentre : dataCentres) {
+        add(actions, read_object{"leases", dataCentre});
+    }
+    const bool isCurrent = m_listObjectVersion && m_storedListVersion == m_list.version && !m_pending;
+    if (!isCurrent) {
+        add(actions, read_object{"members", "list"});
+        return;
+    }
+    member_list next = nextList(now);
+    const bool isConfirmed = std::all_of(m_list.members.begin(), m_list.members.end(), [&](const listed_member &member) {
+        const listed_member *kept = next.find(member.entry.instance);
+        const peer_state *peer = listedPeer(member);
+        const bool isSelf = member.entry.instance == m_self.instance && member.incarnation == m_incarnation;
+        const std::uint64_t confirmed = isSelf ? m_appliedListVersion : (peer == nullptr ? 0 : peer->appliedListVersion);
+        return kept == nullptr || kept->incarnation != member.incarnation || confirmed >= m_list.version;
+    });
+    const auto keyOf = [](const listed_member &member) { return std::tuple(member.entry.instance, member.incarnation, member.entry.leaving); };
+    const bool isSame = next.revision == m_list.revision
+        && std::equal(next.members.begin(), next.members.end(), m_list.members.begin(), m_list.members.end(), [&](const auto &left, const auto &right) {
+                            return keyOf(left) == keyOf(right);
+                        });
+    if (!isConfirmed || (isSame && !needsReinstatement(now)) || m_documents.count(next.revision) == 0) {
+        add(actions, read_object{"members", "list"});
+        return;
+    }
+    next.nonce = m_incarnation + "-" + std::to_string(m_sequence);
+    add(actions, write_object{"members", "list", *m_listObjectVersion, memberListText(next)});
+}
+
+} // namespace balsamhook
