--- /dev/null
+++ b/query/latency_window.cpp
@@ -0,0 +1,40 @@
+#include "query/latency_window.h"
+
+#include <algorithm>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+constexpr std::size_t LeastSamples = 20; ///< Below this the 95th percentile is the maximum.
+constexpr std::size_t RecomputeEvery = 8;
+constexpr std::size_t Percentile = 95;
+
+} // namespace
+
+void latency_window::add(std::chrono::microseconds sample)
+{
+    m_samples[m_added % Capacity] = sample;
+    ++m_added;
+    if (m_added >= LeastSamples && (m_added % RecomputeEvery == 0 || !m_percentile)) {
+        recompute();
+    }
+}
+
+void latency_window::recompute()
+{
+    const std::size_t count = std::min(m_added, Capacity);
+    auto sorted = m_samples;
+    const auto position = sorted.begin() + static_cast<std::ptrdiff_t>(count * Percentile / 100);
+    std::nth_element(sorted.begin(), position, sorted.begin() + static_cast<std::ptrdiff_t>(count));
+    m_percentile = *position;
+}
+
+std::optional<std::chrono::microseconds> latency_window::highPercentile() const
+{
+    return m_percentile;
+}
+
+} // namespace balsamhook
--- /dev/null
+++ b/query/latency_window.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <optional>
+
+namespace balsamhook
+{
+
+/// High percentile (95%) of the most recent latencies of one shard. Not thread-safe.
+class latency_window
+{
+public:
+    void add(std::chrono::microseconds sample);
+
+    /// No value until enough samples were seen for the percentile to mean something.
+    std::optional<std::chrono::microseconds> highPercentile() const;
+
+private:
+    static constexpr std::size_t Capacity = 128;
+
+    void recompute();
+
+    std::array<std::chrono::microseconds, Capacity> m_samples{};
+    std::size_t m_added = 0;
+    std::optional<std::chrono::microseconds> m_percentile;
+};
+
+} // namespace balsamhook
--- /dev/null
+++ b/query/query.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Public header of the query library: the decisions of a front end, callers' requests, and the tasks of balsam-front.
+
+#include "query/admission.h"
+#include "query/command_route.h"
+#include "query/hit.h"
+#include "query/latency_window.h"
+#include "query/query_action.h"
+#include "query/query_engine.h"
+#include "query/running_query.h"
+#include "query/service_layout.h"
+#include "query/snapshot_choice.h"
+#include "query/target_view.h"
+#include "query/token_budget.h"
--- /dev/null
+++ b/query/snapshot_choice.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "query/service_layout.h"
+#include "query/target_view.h"
+
+#include <optional>
+
+namespace balsamhook
+{
+
+struct snapshot_choice
+{
+    snapshot chosen;
+    std::size_t shards = 0; ///< Shards with at least one usable replica that holds the snapshot.
+};
+
+/// Returns the newest snapshot of the configured layout that a usable replica of every shard holds; when no snapshot covers all shards, the one
+/// with the most shards, the newest of these. Only snapshots newer than the bound are considered when it is given. No value when there is none.
+std::optional<snapshot_choice> chooseSnapshot(const service_layout &service, const target_view &targets, std::optional<snapshot> newerThan = std::nullopt);
+
+} // namespace balsamhook
