--- /dev/null
+++ b/dispatch/slot_limit.cpp
@@ -0,0 +1,168 @@
+#include "dispatch/slot_limit.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+constexpr std::uint32_t AnswersPerStep = 5;
+// Longer than the largest part of a status poll's period, so that a step seldom happens before the target could say that it is cold.
+constexpr std::chrono::milliseconds StepInterval{500};
+// A target that says "cold" for longer than this while it answers at normal service time has a stale status.
+constexpr std::chrono::seconds StatusTrust{60};
+constexpr double NormalFactor = 2.0;
+constexpr double JumpFactor = 3.0;
+constexpr std::size_t JumpSamples = 7;
+constexpr std::size_t RecentSamples = 64;
+constexpr double FallWeight = 0.25;
+constexpr double WarmRiseWeight = 0.01;
+// In cold start the normal service time hardly rises, else a slow cold target would soon count as normal.
+constexpr double ColdRiseWeight = 0.001;
+constexpr double MeanWeight = 0.1;
+
+} // namespace
+
+slot_limit::slot_limit(std::uint32_t coldSlots, std::uint32_t slots, time_point now)
+    : m_coldSlots(coldSlots)
+    , m_slots(slots)
+    , m_limit(coldSlots)
+    , m_changedAt(now)
+{
+    BALSAM_ASSERT(coldSlots >= 1 && coldSlots <= slots);
+}
+
+void slot_limit::resize(std::uint32_t coldSlots, std::uint32_t slots, time_point now)
+{
+    BALSAM_ASSERT(coldSlots >= 1 && coldSlots <= slots);
+    if (coldSlots == m_coldSlots && slots == m_slots) {
+        return;
+    }
+    m_coldSlots = coldSlots;
+    m_slots = slots;
+    m_limit = std::clamp(m_limit, m_coldSlots, m_slots);
+    m_warm = m_warm && m_limit == m_slots;
+    m_normalAnswers = 0;
+    m_changedAt = now;
+}
+
+void slot_limit::reset(time_point now)
+{
+    m_limit = m_coldSlots;
+    m_warm = false;
+    m_normalAnswers = 0;
+    m_samplesSinceReset = 0;
+    m_changedAt = now;
+}
+
+void slot_limit::recordAnswer(microseconds serviceTime, time_point now)
+{
+    addSample(serviceTime);
+    const auto sample = static_cast<double>(serviceTime.count());
+    const bool isNormal = m_normal == 0 || sample <= NormalFactor * m_normal;
+    adaptNormal(serviceTime);
+    if (hasJumped()) {
+        reset(now);
+        return;
+    }
+    m_normalAnswers = isNormal ? m_normalAnswers + 1 : 0;
+    const bool mayRise = m_normalAnswers >= AnswersPerStep && now - m_changedAt >= StepInterval && !isHeldByStatus(now);
+    if (m_warm || !mayRise) {
+        return;
+    }
+    m_limit = std::min(m_limit + 1, m_slots);
+    m_warm = m_limit == m_slots;
+    m_normalAnswers = 0;
+    m_changedAt = now;
+}
+
+void slot_limit::recordTimeout(microseconds waited, time_point now)
+{
+    addSample(waited);
+    m_normalAnswers = 0;
+    if (hasJumped()) {
+        reset(now);
+    }
+}
+
+void slot_limit::recordStatus(bool cold, time_point now)
+{
+    if (cold && !m_statusCold && !m_warm) {
+        m_changedAt = now;
+    }
+    m_statusCold = cold;
+}
+
+std::uint32_t slot_limit::limit() const
+{
+    return m_limit;
+}
+
+bool slot_limit::isWarm() const
+{
+    return m_warm;
+}
+
+slot_limit::microseconds slot_limit::mean() const
+{
+    return microseconds(static_cast<std::int64_t>(m_mean));
+}
+
+slot_limit::microseconds slot_limit::normal() const
+{
+    return microseconds(static_cast<std::int64_t>(m_normal));
+}
+
+slot_limit::microseconds slot_limit::percentile95() const
+{
+    if (m_recent.empty()) {
+        return microseconds(0);
+    }
+    std::vector<std::int64_t> sorted(m_recent.begin(), m_recent.end());
+    const std::size_t rank = sorted.size() * 95 / 100;
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(rank), sorted.end());
+    return microseconds(sorted[rank]);
+}
+
+void slot_limit::addSample(microseconds sample)
+{
+    const auto value = static_cast<double>(sample.count());
+    m_mean = m_mean == 0 ? value : m_mean + (value - m_mean) * MeanWeight;
+    m_recent.push_back(sample.count());
+    if (m_recent.size() > RecentSamples) {
+        m_recent.pop_front();
+    }
+    ++m_samplesSinceReset;
+}
+
+bool slot_limit::hasJumped() const
+{
+    if (m_normal == 0 || m_samplesSinceReset < JumpSamples || m_recent.size() < JumpSamples) {
+        return false;
+    }
+    // The median of a few answers, so that one straggler doesn't count as a jump.
+    std::vector<std::int64_t> newest(m_recent.end() - JumpSamples, m_recent.end());
+    std::nth_element(newest.begin(), newest.begin() + JumpSamples / 2, newest.end());
+    return static_cast<double>(newest[JumpSamples / 2]) > JumpFactor * m_normal;
+}
+
+bool slot_limit::isHeldByStatus(time_point now) const
+{
+    return m_statusCold && now - m_changedAt < StatusTrust;
+}
+
+void slot_limit::adaptNormal(microseconds sample)
+{
+    const auto value = std::max<double>(1.0, static_cast<double>(sample.count()));
+    if (m_normal == 0) {
+        m_normal = value;
+        return;
+    }
+    const double riseWeight = m_warm ? WarmRiseWeight : ColdRiseWeight;
+    m_normal += (value - m_normal) * (value < m_normal ? FallWeight : riseWeight);
+}
+
+} // namespace balsamhook
