Add stand-in targets with a data generator, a model of a target and an admin interface

The demo, the load tool and scenarios need back ends whose answers a checker can recompute and which report the load they get. A target is a model without sockets (slots, queue, cold start, connection cap) behind an HTTP server that can hold, reset and refuse connections, which http_server does not offer.

--- /dev/null
+++ b/standins/site.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/base.h"
+#include "standins/data_set.h"
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamhook
+{
+
+/// How the targets of one service behave.
+struct service_behaviour
+{
+    std::chrono::microseconds serviceTime{8000}; ///< Mean
+    std::chrono::microseconds spread{2000}; ///< Standard deviation
+    double stragglerShare = 0.0; ///< Share of requests that take stragglerFactor times as long, 0 to 1.
+    double stragglerFactor = 10.0;
+    std::chrono::microseconds opening{6000}; ///< Added before the first response of a connection.
+    std::chrono::milliseconds coldStart{3000}; ///< From the start of an incarnation until the target is warm.
+    std::chrono::milliseconds downTime{1500}; ///< How long a crashed target refuses connections.
+    std::string poisonWord = "poisoned-request"; ///< A request whose text or payload contains it crashes the target.
+    data_settings data;
+};
+
+struct site_shard
+{
+    std::string shard;
+    std::vector<std::string> targets;
+};
+
+struct site_service
+{
+    std::string name;
+    std::uint64_t layoutEpoch = 1;
+    std::vector<site_shard> shards;
+    service_behaviour behaviour;
+
+    std::vector<std::string> shardNames() const;
+};
+
+struct site_target
+{
+    std::string name;
+    std::string dataCentre;
+    std::string service;
+    std::vector<std::string> shards;
+    endpoint address;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 1;
+    std::uint32_t coldSlots = 1;
+};
+
+/// What the stand-ins know about a site: {"configuration": DOCUMENT, "behaviour": {SERVICE: {...}}}.
+struct site_description
+{
+    std::vector<site_service> services;
+    std::vector<site_target> targets;
+
+    /// Lookups by name; nullptr when there is none.
+    const site_service *findService(std::string_view name) const;
+    const site_target *findTarget(std::string_view name) const;
+};
+
+/// Parses a site file's text. Invalid with a message that names the field. Never throws.
+result<site_description> parseSite(std::string_view json);
+
+/// Reads and parses a site file. NotFound when it can't be read.
+result<site_description> readSite(const std::string &path);
+
+} // namespace balsamhook
--- /dev/null
+++ b/standins/standins.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Public header of the stand-in library: the generated data, the model of a target, and targets that serve HTTP.
+
+#include "standins/credit_ledger.h"
+#include "standins/data_set.h"
+#include "standins/site.h"
+#include "standins/target_model.h"
+#include "standins/target_process.h"
--- /dev/null
+++ b/standins/standins_test.cpp
@@ -0,0 +1,379 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "standins/standins.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace balsamhook;
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr std::chrono::seconds Limit{2};
+const endpoint First{"127.0.0.1", 17941};
+const endpoint Ledger{"127.0.0.1", 17943};
+const endpoint Admin{"127.0.0.1", 17949};
+
+std::string siteText()
+{
+    return R"({"configuration":{"data_centres":[{"name":"dc1","state":"in"}],
+        "services":[{"name":"finder","kind":"query","layout_epoch":3,"shards":[{"shard":"0","targets":["t0"]},{"shard":"1","targets":["t1"]}]},
+                    {"name":"ledger","kind":"command","shards":[{"shard":"0","targets":["t2"]}]}],
+        "targets":[{"name":"t0","data_centre":"dc1","address":"127.0.0.1:17941","slots":2,"connections":3,"cold_slots":1},
+                   {"name":"t1","data_centre":"dc1","address":"127.0.0.1:17942","slots":2,"connections":3,"cold_slots":1},
+                   {"name":"t2","data_centre":"dc1","address":"127.0.0.1:17943","slots":2,"connections":3,"cold_slots":1}]},
+        "behaviour":{"finder":{"service_time_ms":20,"spread_ms":0,"opening_ms":0,"cold_start_ms":0,"down_time_ms":50},
+                     "ledger":{"service_time_ms":20,"spread_ms":0,"opening_ms":30,"cold_start_ms":0}}})";
+}
+
+site_description testSite()
+{
+    return parseSite(siteText()).value();
+}
+
+http_request searchRequest(const std::string &shard, std::uint64_t version, const std::string &text, const std::string &id = "r1", int deadline = 1000)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/search";
+    request.headers["x-request-id"] = id;
+    request.headers["x-deadline-ms"] = std::to_string(deadline);
+    request.body = json{{"shard", shard}, {"layout_epoch", 3}, {"index_version", version}, {"text", text}, {"limit", 5}}.dump();
+    return request;
+}
+
+http_request plainRequest(const std::string &method, const std::string &path, const std::string &body = {})
+{
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    return request;
+}
+
+asio::awaitable<void> pauseFor(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+class process_fixture
+{
+public:
+    process_fixture()
+        : process(context, testSite(), numbers)
+    {
+        REQUIRE(process.start(Admin).has_value());
+    }
+
+    void run(asio::awaitable<void> task)
+    {
+        bool done = false;
+        asio::co_spawn(context, std::move(task), [&](std::exception_ptr failed) {
+            done = true;
+            context.stop();
+            if (failed) {
+                std::rethrow_exception(failed);
+            }
+        });
+        context.run_for(std::chrono::seconds(10));
+        CHECK(done);
+        process.stop();
+    }
+
+    json figures(const std::string &target)
+    {
+        const json report = json::parse(process.report());
+        for (const json &entry : report.at("targets")) {
+            if (entry.at("name") == target) {
+                return entry;
+            }
+        }
+        return {};
+    }
+
+    asio::io_context context;
+    counters numbers;
+    target_process process;
+};
+
+site_target modelShape()
+{
+    site_target shape;
+    shape.slots = 2;
+    shape.connections = 3;
+    shape.coldSlots = 1;
+    return shape;
+}
+
+service_behaviour modelBehaviour()
+{
+    service_behaviour behaviour;
+    behaviour.coldStart = std::chrono::milliseconds(100);
+    return behaviour;
+}
+
+} // namespace
+
+TEST_CASE("generated data is equal in each generator and differs between snapshots")
+{
+    data_settings values;
+    values.service = "finder";
+    data_set one(values);
+    data_set other(values);
+    const auto found = one.search("0", {1, 1}, "diesel tank", 10);
+    CHECK(found == other.search("0", {1, 1}, "diesel tank", 10));
+    CHECK_FALSE(found.empty());
+    CHECK(found != one.search("0", {1, 2}, "diesel tank", 10));
+    CHECK(found != one.search("0", {2, 1}, "diesel tank", 10));
+    CHECK(found != one.search("1", {1, 1}, "diesel tank", 10));
+}
+
+TEST_CASE("merging the parts of the shards gives the merged answer, so that a checker agrees with a correct merge")
+{
+    const bool held = rc::check([] {
+        data_settings values;
+        values.service = "finder";
+        values.documentsPerShard = 20;
+        data_set data(values);
+        const auto number = *rc::gen::inRange<std::uint64_t>(0, 1000);
+        const auto limit = *rc::gen::inRange<std::size_t>(1, 30);
+        const std::string text = data.sampleText(number);
+        std::vector<data_hit> all;
+        for (const char *shard : {"0", "1", "2"}) {
+            const auto part = data.search(shard, {1, 1}, text, 1000);
+            all.insert(all.end(), part.begin(), part.end());
+        }
+        std::sort(all.begin(), all.end(), [](const data_hit &a, const data_hit &b) { return a.score != b.score ? a.score > b.score : a.id < b.id; });
+        all.resize(std::min(all.size(), limit));
+        RC_ASSERT(data.mergedAnswer({"0", "1", "2"}, {1, 1}, text, limit) == all);
+    });
+    CHECK(held);
+}
+
+TEST_CASE("a site file with an unknown behaviour, a bad address or a target of no service is refused by name")
+{
+    json site = json::parse(siteText());
+    site["behaviour"]["finder"]["servicetime"] = 3;
+    CHECK(parseSite(site.dump()).error().message.find("servicetime") != std::string::npos);
+    site = json::parse(siteText());
+    site["configuration"]["targets"][0]["address"] = "here";
+    CHECK(parseSite(site.dump()).error().message.find("t0") != std::string::npos);
+    site = json::parse(siteText());
+    site["configuration"]["services"][0]["shards"][0]["targets"][0] = "t1";
+    CHECK(parseSite(site.dump()).error().message.find("t0") != std::string::npos);
+    CHECK(parseSite("nonsense").has_error());
+}
+
+TEST_CASE("a cold target counts work beyond its bound as a violation; a warm one queues beyond its slots")
+{
+    target_model model(modelShape(), modelBehaviour(), 1);
+    boot_clock::time_point now = boot_clock::now();
+    model.restart(now);
+    CHECK(model.admit(1, now) == target_admission::Accepted);
+    CHECK(model.figures().coldViolations == 0);
+    model.admit(2, now);
+    CHECK(model.figures().coldViolations == 1);
+    CHECK(model.takeStarted().size() == 2);
+    now += std::chrono::milliseconds(101);
+    CHECK_FALSE(model.isCold(now));
+    model.admit(3, now);
+    CHECK(model.figures().coldViolations == 1);
+    CHECK(model.takeStarted().empty());
+    model.remove(1, now);
+    const auto started = model.takeStarted();
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].id == 3);
+    CHECK(model.figures().peakConcurrent == 3);
+}
+
+TEST_CASE("a target never runs more than its slots and loses no work, whatever the order of events")
+{
+    const bool held = rc::check([] {
+        target_model model(modelShape(), modelBehaviour(), 1);
+        const boot_clock::time_point now = boot_clock::now();
+        model.restart(now);
+        std::set<std::uint64_t> present;
+        std::set<std::uint64_t> running;
+        std::uint64_t next = 1;
+        const auto steps = *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(0, 100));
+        for (const std::uint64_t step : steps) {
+            if (step < 60 || present.empty()) {
+                if (model.admit(next, now) == target_admission::Accepted) {
+                    present.insert(next);
+                }
+                ++next;
+            } else {
+                auto chosen = present.begin();
+                std::advance(chosen, static_cast<std::ptrdiff_t>(step % present.size()));
+                model.remove(*chosen, now);
+                running.erase(*chosen);
+                present.erase(chosen);
+            }
+            for (const started_work &work : model.takeStarted()) {
+                RC_ASSERT(present.contains(work.id));
+                RC_ASSERT(running.insert(work.id).second);
+            }
+            RC_ASSERT(running.size() == std::min<std::size_t>(present.size(), 2));
+            RC_ASSERT(model.concurrent() == present.size());
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("a connection beyond the cap is a violation and refused; a closed one frees its place")
+{
+    target_model model(modelShape(), modelBehaviour(), 1);
+    model.restart(boot_clock::now());
+    for (int i = 0; i < 3; ++i) {
+        CHECK(model.openConnection());
+    }
+    CHECK_FALSE(model.openConnection());
+    CHECK(model.figures().connectionViolations == 1);
+    model.closeConnection();
+    CHECK(model.openConnection());
+    CHECK(model.figures().peakConnections == 3);
+}
+
+TEST_CASE("a search over HTTP returns what the generator says, and a snapshot that isn't held is refused as not started")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &fixture) -> asio::awaitable<void> {
+        auto connection = co_await http_connection::open(First, "", Limit);
+        const auto response = co_await connection.value()->exchange(searchRequest("0", 1, "diesel"), Limit);
+        REQUIRE(response.has_value());
+        const json body = json::parse(response.value().body);
+        data_set data(testSite().findService("finder")->behaviour.data);
+        CHECK(body.at("hits").dump() == json::parse(hitsJson(data.search("0", {3, 1}, "diesel", 5))).dump());
+        CHECK(body.at("index_version") == 1);
+        const auto missing = co_await connection.value()->exchange(searchRequest("0", 2, "diesel"), Limit);
+        CHECK(missing.value().status == 409);
+        CHECK(missing.value().body.find("\"started\":false") != std::string::npos);
+        CHECK(fixture.figures("t0").at("searches") == 1);
+        CHECK(fixture.figures("t0").at("last_new_work_ms").get<std::int64_t>() > 0);
+    }(fixture));
+}
+
+TEST_CASE("an index version that advances on command leaves the one before it in place")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &) -> asio::awaitable<void> {
+        for (const char *version : {"2", "3"}) {
+            const http_request advance = plainRequest("PUT", "/standin/services/finder", "{\"index_version\":" + std::string(version) + "}");
+            const auto done = co_await fetch(Admin, "", advance, Limit);
+            CHECK(done.value().status == 200);
+            co_await pauseFor(std::chrono::milliseconds(30));
+        }
+        auto connection = co_await http_connection::open(First, "", Limit);
+        const auto oldest = co_await connection.value()->exchange(searchRequest("0", 1, "diesel"), Limit);
+        CHECK(oldest.value().status == 409);
+        const auto previous = co_await connection.value()->exchange(searchRequest("0", 2, "diesel"), Limit);
+        CHECK(previous.value().status == 200);
+        const auto newest = co_await connection.value()->exchange(searchRequest("0", 3, "diesel"), Limit);
+        CHECK(newest.value().status == 200);
+    }(fixture));
+}
+
+TEST_CASE("a request that crashes its target closes the connections, and the target returns with a new incarnation")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &fixture) -> asio::awaitable<void> {
+        auto connection = co_await http_connection::open(First, "", Limit);
+        const auto before = co_await connection.value()->exchange(plainRequest("GET", "/status"), Limit);
+        const auto crashed = co_await connection.value()->exchange(searchRequest("0", 1, "poisoned-request"), Limit);
+        CHECK(crashed.has_error());
+        const auto refused = co_await http_connection::open(First, "", Limit);
+        CHECK(refused.has_error());
+        co_await pauseFor(std::chrono::milliseconds(120));
+        const auto after = co_await fetch(First, "", plainRequest("GET", "/status"), Limit);
+        REQUIRE(after.has_value());
+        CHECK(json::parse(after.value().body).at("incarnation") != json::parse(before.value().body).at("incarnation"));
+        CHECK(fixture.figures("t0").at("crashes") == 1);
+        // The target notices the end of the status connection a moment after the client has closed it.
+        co_await pauseFor(std::chrono::milliseconds(20));
+        CHECK(fixture.figures("t0").at("connections") == 0);
+    }(fixture));
+}
+
+TEST_CASE("connections made silent never answer while new ones work")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &) -> asio::awaitable<void> {
+        auto held = co_await http_connection::open(First, "", Limit);
+        const auto before = co_await held.value()->exchange(plainRequest("GET", "/status"), Limit);
+        CHECK(before.has_value());
+        const http_request silence = plainRequest("PUT", "/standin/targets/t0", R"({"silent":"open"})");
+        const auto done = co_await fetch(Admin, "", silence, Limit);
+        CHECK(done.value().status == 200);
+        const auto none = co_await held.value()->exchange(plainRequest("GET", "/status"), std::chrono::milliseconds(100));
+        CHECK(none.error().code == error_code::Timeout);
+        const auto fresh = co_await fetch(First, "", plainRequest("GET", "/status"), Limit);
+        CHECK(fresh.has_value());
+    }(fixture));
+}
+
+TEST_CASE("a deadline ends a search, and a cancelled search gives its slot back")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &fixture) -> asio::awaitable<void> {
+        const http_request slow = plainRequest("PUT", "/standin/targets/t0", R"({"delay_ms":500})");
+        const auto changed = co_await fetch(Admin, "", slow, Limit);
+        CHECK(changed.value().status == 200);
+        auto connection = co_await http_connection::open(First, "", Limit);
+        const auto late = co_await connection.value()->exchange(searchRequest("0", 1, "diesel", "r1", 50), Limit);
+        CHECK(late.value().status == 504);
+        asio::co_spawn(
+            fixture.context,
+            []() -> asio::awaitable<void> {
+                co_await pauseFor(std::chrono::milliseconds(50));
+                const http_request cancel = plainRequest("POST", "/cancel", R"({"request_id":"r2"})");
+                const auto accepted = co_await fetch(First, "", cancel, Limit);
+                CHECK(accepted.value().status == 202);
+            },
+            asio::detached);
+        const auto begin = boot_clock::now();
+        const auto cancelled = co_await connection.value()->exchange(searchRequest("0", 1, "diesel", "r2"), Limit);
+        CHECK(cancelled.value().status == 503);
+        CHECK(boot_clock::now() - begin < std::chrono::milliseconds(400));
+    }(fixture));
+}
+
+TEST_CASE("the ledger counts each run of a key, and the opening cost delays the first answer of a connection only")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &fixture) -> asio::awaitable<void> {
+        auto connection = co_await http_connection::open(Ledger, "", Limit);
+        const http_request credit = plainRequest("POST", "/execute", R"({"key":"k1","payload":{}})");
+        const auto begin = boot_clock::now();
+        const auto first = co_await connection.value()->exchange(credit, Limit);
+        const auto between = boot_clock::now();
+        const auto second = co_await connection.value()->exchange(credit, Limit);
+        CHECK(first.value().status == 200);
+        CHECK(second.value().status == 200);
+        CHECK(between - begin >= std::chrono::milliseconds(50));
+        CHECK(boot_clock::now() - between < std::chrono::milliseconds(45));
+        CHECK(fixture.process.ledger().runs("ledger", "k1") == 2);
+        CHECK(fixture.process.ledger().repeatedKeys() == std::vector<std::string>{"ledger/k1"});
+    }(fixture));
+}
+
+TEST_CASE("a draining target refuses new work as not started")
+{
+    process_fixture fixture;
+    fixture.run([](process_fixture &) -> asio::awaitable<void> {
+        const http_request drain = plainRequest("PUT", "/standin/targets/t0", R"({"state":"draining"})");
+        const auto changed = co_await fetch(Admin, "", drain, Limit);
+        CHECK(changed.value().status == 200);
+        const auto refused = co_await fetch(First, "", searchRequest("0", 1, "diesel"), Limit);
+        CHECK(refused.value().status == 503);
+        CHECK(refused.value().body == R"({"error":"draining","started":false})");
+    }(fixture));
+}
