--- /dev/null
+++ b/control/configuration_state.cpp
@@ -0,0 +1,104 @@
+#include "control/configuration_state.h"
+
+namespace balsamhook
+{
+
+namespace
+{
+
+constexpr std::size_t DocumentsKept = 8;
+/// Three sections for each of some recent revisions; a section that was dropped is fetched again.
+constexpr std::size_t SectionsKept = 64;
+
+} // namespace
+
+configuration_state::configuration_state()
+{
+    m_documents[0] = std::make_shared<configuration_document>();
+    m_text = documentText(*m_documents[0]);
+}
+
+std::uint64_t configuration_state::revision() const
+{
+    return m_root.revision;
+}
+
+const configuration_root &configuration_state::root() const
+{
+    return m_root;
+}
+
+document_pointer configuration_state::document() const
+{
+    return m_documents.at(m_root.revision);
+}
+
+const std::string &configuration_state::text() const
+{
+    return m_text;
+}
+
+document_pointer configuration_state::find(std::uint64_t revision) const
+{
+    const auto found = m_documents.find(revision);
+    return found == m_documents.end() ? nullptr : found->second;
+}
+
+const std::string *configuration_state::findSection(std::string_view hash) const
+{
+    const auto found = m_sections.find(hash);
+    return found == m_sections.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> configuration_state::missingSections(const configuration_root &root) const
+{
+    std::vector<std::string> missing;
+    for (const auto &[name, hash] : root.sections) {
+        if (m_sections.count(hash) == 0) {
+            missing.push_back(hash);
+        }
+    }
+    return missing;
+}
+
+void configuration_state::addSection(const section_text &section)
+{
+    if (contentHash(section.text) != section.hash || !m_sections.emplace(section.hash, section.text).second) {
+        return;
+    }
+    m_sectionOrder.push_back(section.hash);
+    if (m_sectionOrder.size() > SectionsKept) {
+        m_sections.erase(m_sectionOrder.front());
+        m_sectionOrder.pop_front();
+    }
+}
+
+result<document_pointer> configuration_state::join(const configuration_root &root) const
+{
+    std::vector<section_text> texts;
+    texts.reserve(root.sections.size());
+    for (const auto &[name, hash] : root.sections) {
+        if (const std::string *text = findSection(hash)) {
+            texts.push_back({hash, *text});
+        }
+    }
+    BOOST_OUTCOME_TRY(document, joinSections(root, texts));
+    return document_pointer(std::make_shared<configuration_document>(std::move(document)));
+}
+
+result<bool> configuration_state::advance(const configuration_root &root)
+{
+    if (root.revision <= m_root.revision) {
+        return false;
+    }
+    BOOST_OUTCOME_TRY(document, join(root));
+    m_root = root;
+    m_text = documentText(*document);
+    m_documents[root.revision] = std::move(document);
+    if (m_documents.size() > DocumentsKept) {
+        m_documents.erase(m_documents.begin());
+    }
+    return true;
+}
+
+} // namespace balsamhook
--- /dev/null
+++ b/control/control_core.cpp
@@ -0,0 +1,138 @@
+#include "control/control_core.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+namespace balsamhook
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t SpanCapacity = 1000;
+constexpr std::chrono::milliseconds PeerTimeout{1000};
+/// A peer heard within this time vouches for the newest revision that it applied.
+constexpr std::chrono::milliseconds HeardRecently{1600};
+
+} // namespace
+
+control_core::control_core(asio::io_context &ioContext, control_settings settings)
+    : context(ioContext)
+    , values(std::move(settings))
+    , spans(SpanCapacity)
+    , store(makeHttpObjectStore({values.platform, values.instance.listenAddress, values.storeTimeout}, numbers))
+    , incarnation(randomId())
+    , node(values.instance.memberEntry(), incarnation, membership_settings(), stableHash(incarnation))
+{
+}
+
+void control_core::exchange()
+{
+    const auto now = boot_clock::now();
+    node.provideDocument(configuration.revision(), configuration.document(), now);
+    if (configuration.revision() > 0) {
+        configuration_root root = configuration.root();
+        // Only the plans need the history of the root.
+        root.earlier.clear();
+        node.setNewestRoot(root.revision, rootText(root));
+    }
+    if (const member_list *pending = node.pendingList()) {
+        if (const document_pointer known = configuration.find(pending->revision)) {
+            node.provideDocument(pending->revision, known, now);
+        }
+    }
+    refreshApplied();
+}
+
+void control_core::refreshApplied()
+{
+    const auto now = boot_clock::now();
+    std::uint64_t revision = configuration.revision();
+    std::uint64_t listVersion = node.list().version;
+    const auto allowed = node.actionable();
+    for (const auto &[role, program] : programs) {
+        if (!program.isConnected) {
+            const bool mayStillAct = role == program_role::Dispatch && now < program.entitledUntil;
+            if (mayStillAct) {
+                return;
+            }
+            continue;
+        }
+        revision = std::min(revision, program.status.appliedRevision);
+        if (role != program_role::Dispatch || now >= program.entitledUntil) {
+            continue;
+        }
+        listVersion = std::min(listVersion, program.status.appliedMemberListVersion);
+        for (const std::string &target : program.status.activeTargets) {
+            if (std::find(allowed.begin(), allowed.end(), target) == allowed.end()) {
+                return;
+            }
+        }
+    }
+    node.setApplied(revision, listVersion);
+}
+
+void control_core::noteStoreFresh()
+{
+    freshAt = boot_clock::now();
+    hasReadConfiguration = true;
+}
+
+void control_core::confirmFreshness()
+{
+    const auto now = boot_clock::now();
+    const std::size_t members = node.list().members.size();
+    const bool hasMajority = members > 1 && node.isMember() && node.heardWithin(HeardRecently, now) > members / 2;
+    if (hasMajority && hasReadConfiguration && node.newestHeard(now).revision <= configuration.revision()) {
+        freshAt = now;
+    }
+}
+
+boot_clock::time_point control_core::acceptUntil() const
+{
+    return isReady() ? freshAt + values.freshness : boot_clock::time_point();
+}
+
+bool control_core::isReady() const
+{
+    return hasReadConfiguration && node.isMember();
+}
+
+asio::awaitable<result<sections>> fetchFromPeer(control_core &core, std::string peerEndpoint, fetch_sections request)
+{
+    const auto peer = parseEndpoint(peerEndpoint);
+    if (!peer) {
+        co_return peer.error();
+    }
+    const frame_limits limits;
+    auto opened = co_await frame_connection::open(peer.value(), core.values.instance.listenAddress, PeerTimeout, limits);
+    if (!opened) {
+        co_return opened.error();
+    }
+    const frame_connection::pointer connection = opened.value();
+    const hello identity{core.values.instance.instance, core.node.incarnation(), program_role::Control, core.values.instance.dataCentre};
+    BOOST_OUTCOME_CO_TRY(connection->send(identity));
+    BOOST_OUTCOME_CO_TRY(connection->send(request));
+    // A silent connection must not keep the task waiting.
+    asio::steady_timer timer(core.context, PeerTimeout);
+    timer.async_wait([connection](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            connection->close();
+        }
+    });
+    while (true) {
+        const auto received = co_await connection->receive();
+        if (!received) {
+            co_return received.error();
+        }
+        if (const auto *answer = std::get_if<sections>(&received.value())) {
+            timer.cancel();
+            connection->close();
+            co_return *answer;
+        }
+    }
+}
+
+} // namespace balsamhook
--- /dev/null
+++ b/control/membership_task.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "control/control_core.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace balsamhook
+{
+
+/// Runs the membership logic: gossip over UDP, its timer, and its calls to the store. Preconditions: core outlives the task.
+class membership_task
+{
+public:
+    explicit membership_task(control_core &core);
+
+    /// Binds the gossip port; Unreachable when it can't be bound.
+    result<void> start();
+
+private:
+    boost::asio::awaitable<void> receiveAll();
+    boost::asio::awaitable<void> tickPeriodically();
+    boost::asio::awaitable<void> readObject(read_object call);
+    boost::asio::awaitable<void> writeObject(write_object call);
+    void perform(const membership_action &action);
+    void sendDatagram(const send_gossip &sent);
+
+    control_core &m_core;
+    boost::asio::ip::udp::socket m_socket;
+};
+
+} // namespace balsamhook
--- /dev/null
+++ b/control/operator_api.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "control/configuration_task.h"
+
+namespace balsamhook
+{
+
+/// The operators' HTTP API of section 4.4 of docs/design.md, with /metrics, /healthz and /v1/spans. Preconditions: core and task outlive the API.
+class operator_api
+{
+public:
+    operator_api(control_core &core, configuration_task &task);
+
+    /// Unreachable when the port can't be bound.
+    result<void> start();
+
+private:
+    struct stored_plan
+    {
+        std::uint64_t version = 0;
+        plan content;
+    };
+
+    boost::asio::awaitable<http_response> handle(http_request request);
+    boost::asio::awaitable<http_response> makePlanFor(std::string intentJson);
+    boost::asio::awaitable<http_response> confirm(std::string id, std::string body);
+    boost::asio::awaitable<http_response> listPlans();
+    boost::asio::awaitable<http_response> showPlan(std::string id);
+    boost::asio::awaitable<result<stored_plan>> readPlan(std::string id);
+    boost::asio::awaitable<result<void>> writeSections(configuration_document document);
+    boost::asio::awaitable<http_response> apply(stored_plan stored, std::optional<stored_object> rootObject);
+    boost::asio::awaitable<http_response> settlePlan(stored_plan stored, std::optional<stored_object> rootObject);
+    boost::asio::awaitable<void> recordState(stored_plan stored, plan_state state, std::uint64_t revision, std::string refusal);
+    http_response staleResponse(const plan &proposed) const;
+    http_response appliedResponse(const plan &applied) const;
+    http_response configurationResponse() const;
+    http_response membersResponse() const;
+    http_response statusResponse() const;
+
+    control_core &m_core;
+    configuration_task &m_task;
+    http_server m_server;
+};
+
+} // namespace balsamhook
--- a/membership/membership_node.cpp
+++ b/membership/membership_node.cpp
@@ -575,6 +575,10 @@
     if (m_left) {
         datagram.rumours.push_back({m_self.instance, m_incarnation, member_state::Dead, m_sequence});
     }
+    const listed_member *former = m_list.find(m_self.instance);
+    if (former != nullptr && former->incarnation != m_incarnation) {
+        datagram.rumours.push_back({m_self.instance, former->incarnation, member_state::Dead, m_list.version});
+    }
     const std::size_t count = m_list.members.size();
     // A random start makes sure that all rumours get their turn when they don't fit into one datagram.
     const std::size_t start = count == 0 ? 0 : m_random() % count;
@@ -691,16 +695,16 @@
         return isMember() ? declared : hasOutlivedFormer(m_sequence, m_incarnation);
     }
     const listed_member *listed = m_list.find(voter);
-    for (auto peer = m_peers.lower_bound({voter, ""}); peer != m_peers.end() && peer->first.first == voter; ++peer) {
+    for (auto peer = m_peers.lower_bound({voter, ""}); listed != nullptr && peer != m_peers.end() && peer->first.first == voter; ++peer) {
         const peer_state &state = peer->second;
-        const auto declared = state.declaredDead.find(about.entry.instance);
-        const bool isListed = listed != nullptr && listed->incarnation == state.incarnation;
-        if (isListed && declared != state.declaredDead.end() && declared->second == std::pair{about.incarnation, m_list.version}) {
-            return true;
-        }
-        // A later incarnation of a listed instance: the listed one ended before this one started, and acknowledges nothing any more.
-        const bool isLater = listed != nullptr && !isListed && state.appliedListVersion == 0;
-        if (isLater && hasOutlivedFormer(state.sequence, state.incarnation)) {
+        const auto hasDeclared = [&](const listed_member &member) {
+            const auto declared = state.declaredDead.find(member.entry.instance);
+            return declared != state.declaredDead.end() && declared->second == std::pair{member.incarnation, m_list.version};
+        };
+        const bool isListed = listed->incarnation == state.incarnation;
+        // The voter's later incarnation, which declares the listed one dead: that one acknowledges nothing any more.
+        const bool isSuccessor = !isListed && hasDeclared(*listed) && hasOutlivedFormer(state.sequence, state.incarnation);
+        if (isSuccessor || (isListed && hasDeclared(about))) {
             return true;
         }
     }
--- a/membership/membership_node.h
+++ b/membership/membership_node.h
@@ -68,7 +68,8 @@
 /// - A member is removed only after at least half of the list (and of the list before, unless it confirmed the current one) declared it dead
 ///   under the current version, and after its lease, unchanged for lease plus drift, was revoked by a conditional update of the lease object.
 ///   The reporter doesn't renew a lease that was revoked under its list version.
-/// - A restarted controller can't acknowledge for its former incarnation, so after lease plus drift it counts as having declared everyone dead.
+/// - A restarted controller declares its former incarnation dead, which can't acknowledge any more; after lease plus drift this counts as a
+///   declaration about everyone. Precondition: the two incarnations of an instance never run at the same time.
 /// - A list is written only when every remaining member confirmed the one before.
 ///
 /// A heartbeat sequence starts at a number derived from the incarnation, so that an acknowledgement can't be mistaken for one of another
