--- a/control/configuration_task.cpp
+++ b/control/configuration_task.cpp
@@ -186,7 +186,8 @@
             request.hashes.push_back(MemberListName);
             const auto answer = co_await fetchFromPeer(m_core, newest.listPeer, request);
             const bool hasList = answer && !answer.value().texts.empty();
-            const auto list = hasList ? parseMemberList(answer.value().texts.front().text) : result<member_list>(failure(error_code::NotFound, error_step::Receive, newest.listPeer, "no list"));
+            const auto list = hasList ? parseMemberList(answer.value().texts.front().text)
+                                      : result<member_list>(failure(error_code::NotFound, error_step::Receive, newest.listPeer, "no list"));
             if (list) {
                 m_core.node.offerList(list.value(), boot_clock::now());
                 m_core.exchange();
--- a/control/local_programs.cpp
+++ b/control/local_programs.cpp
@@ -23,9 +23,8 @@
 
 local_programs::local_programs(control_core &core)
     : m_core(core)
-    , m_server(core.context, frame_limits(), ConnectionLimit, core.numbers, [this](frame_connection::pointer connection) {
-        return serve(std::move(connection));
-    })
+    , m_server(
+          core.context, frame_limits(), ConnectionLimit, core.numbers, [this](frame_connection::pointer connection) { return serve(std::move(connection)); })
 {
 }
 
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -245,8 +245,11 @@
         co_return staleResponse(proposed);
     }
     plan_machine machine(proposed.state);
-    if (!machine.isUnsettled()) {
-        machine.process(plan_event::Confirm);
+    settle_options options;
+    options.isRepeated = machine.isUnsettled();
+    if (!options.isRepeated) {
+        const bool isAllowed = machine.process(plan_event::Confirm);
+        BALSAM_ASSERT(isAllowed);
         stored.content.state = plan_state::Confirming;
         const expected_version expected{stored.version};
         const auto marked = co_await m_core.store->write("plans", proposed.id, expected, planText(stored.content));
@@ -256,8 +259,8 @@
         stored.version = marked.value();
     }
     const std::string nonce = nonceOf(proposed);
-    const configuration_root root =
-        rootObject ? makeNextRoot(base, document.value(), nonce, proposed.id) : makeRoot(document.value(), proposed.baseRevision + 1, nonce, proposed.id);
+    const configuration_root root
+        = rootObject ? makeNextRoot(base, document.value(), nonce, proposed.id) : makeRoot(document.value(), proposed.baseRevision + 1, nonce, proposed.id);
     const origin_check check = [&](const stored_object &object) {
         const auto now = parseRoot(object.value);
         const settlement settled = now ? settle(&now.value(), proposed.baseRevision, nonce, proposed.id) : settlement::Unknown;
@@ -267,8 +270,7 @@
         return settled == settlement::Superseded ? write_origin::Other : write_origin::Unclear;
     };
     const expected_version expected{rootObject ? rootObject->version : 0};
-    const settle_limits limits;
-    const auto written = co_await settleWrite(*m_core.store, "configuration", "root", expected, rootText(root), check, limits);
+    const auto written = co_await settleWrite(*m_core.store, "configuration", "root", expected, rootText(root), check, options);
     if (!written && written.error().code == error_code::Conflict) {
         co_await recordState(stored, plan_state::Refused, 0, "another plan changed the configuration first");
         const auto newest = co_await m_task.synchronise();
@@ -323,10 +325,8 @@
     if (const document_pointer base = m_core.configuration.find(proposed.baseRevision)) {
         changes = describeChanges(*base, *m_core.configuration.document());
     }
-    const json value = {{"error", "the base revision is stale"},
-                        {"base_revision", proposed.baseRevision},
-                        {"revision", m_core.configuration.revision()},
-                        {"changes", changes}};
+    const json value = {
+        {"error", "the base revision is stale"}, {"base_revision", proposed.baseRevision}, {"revision", m_core.configuration.revision()}, {"changes", changes}};
     return jsonResponse(409, value.dump());
 }
 
--- a/membership/member_list.cpp
+++ b/membership/member_list.cpp
@@ -60,7 +60,8 @@
     lease_table leases;
     leases.listVersion = value.at("list_version").get<std::uint64_t>();
     for (const auto &[instance, lease] : value.at("members").items()) {
-        leases.entries[instance] = {lease.at("incarnation").get<std::string>(), lease.at("sequence").get<std::uint64_t>(), lease.at("revoked_at").get<std::uint64_t>()};
+        leases.entries[instance]
+            = {lease.at("incarnation").get<std::string>(), lease.at("sequence").get<std::uint64_t>(), lease.at("revoked_at").get<std::uint64_t>()};
     }
     return leases;
 }
--- a/programs/balsam_control.cpp
+++ b/programs/balsam_control.cpp
@@ -95,7 +95,8 @@
     settings options("Controller of one instance: membership, configuration, plans and the operators' API.");
     addInstanceSettings(options, values.instance);
     options.addEndpoint("platform", values.platform, "IP:port of the platform's object API", true);
-    options.addDuration("freshness", values.freshness, std::chrono::milliseconds(1000), std::chrono::minutes(10), "time after which an unconfirmed configuration is stale");
+    options.addDuration(
+        "freshness", values.freshness, std::chrono::milliseconds(1000), std::chrono::minutes(10), "time after which an unconfirmed configuration is stale");
     options.addDuration("stop-limit", values.stopLimit, std::chrono::milliseconds(0), std::chrono::minutes(10), "longest time of a planned stop");
     options.addDuration("store-timeout", values.storeTimeout, std::chrono::milliseconds(10), std::chrono::minutes(1), "time limit of one store call");
     if (const std::optional<int> exitCode = options.parse(argumentCount, arguments)) {
