Add balsam-front with the callers' HTTP API

Cause: callers had no program to connect to. Bodies are checked strictly; each fault names its field. Ruled out: connecting to dispatchers only when a query needs them.

--- /dev/null
+++ b/programs/front.cmake
@@ -0,0 +1,1 @@
+balsam_program(balsam-front SOURCES balsam_front.cpp DEPENDS query program)
--- /dev/null
+++ b/query/caller_requests.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "http/http.h"
+#include "query/query_action.h"
+#include "query/service_layout.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace balsamhook
+{
+
+/// Why a caller's request is refused, with the field at fault.
+struct bad_request
+{
+    std::string message;
+    std::string field; ///< Empty when the body as a whole is at fault.
+};
+
+/// Parses the body of POST /v1/query. Unknown and repeated fields, wrong types and values out of range are refused. Never throws.
+std::variant<query_request, bad_request> parseQuery(std::string_view body);
+
+/// Parses the body of POST /v1/command, likewise.
+std::variant<caller_command, bad_request> parseCommand(std::string_view body);
+
+/// Checks a query against its service: the kind, the deadline and the answer time. No value when it is acceptable.
+std::optional<bad_request> checkQuery(const query_request &request, const service_layout &service);
+std::optional<bad_request> checkCommand(const caller_command &command, const service_layout &service);
+
+/// Responses as in section 4.1 of docs/design.md.
+http_response queryResponse(const query_result &result);
+http_response commandResponse(const command_result &result);
+http_response addressResponse(const std::vector<std::string> &addresses, std::chrono::milliseconds validity);
+
+} // namespace balsamhook
--- a/query/query.h
+++ b/query/query.h
@@ -3,7 +3,10 @@
 /// Public header of the query library: the decisions of a front end, callers' requests, and the tasks of balsam-front.
 
 #include "query/admission.h"
+#include "query/caller_requests.h"
 #include "query/command_route.h"
+#include "query/dispatcher_links.h"
+#include "query/front_service.h"
 #include "query/hit.h"
 #include "query/latency_window.h"
 #include "query/query_action.h"
