Run sub-queries and commands on owned targets

Front ends reach the targets that an instance owns through its dispatcher, which keeps warm connections, checks entitlement directly before each send, cancels, and releases a target after its work in flight has ended. A command is sent only after its key is claimed in the platform's store; an unsettled write is read back and decided by the claim's nonce.

--- /dev/null
+++ b/programs/balsam_dispatch.cpp
@@ -0,0 +1,174 @@
+/// balsam-dispatch: owns the targets assigned to this instance and runs sub-queries and commands on them.
+
+#include "dispatch/dispatch.h"
+#include "programs/program.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+using namespace balsamhook;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds StopCheckPeriod{20};
+
+struct program_settings
+{
+    instance_settings instance;
+    std::int64_t queueLength = 64;
+    std::int64_t frontConnections = 1024;
+    std::int64_t storedSpans = 10000;
+    endpoint platform;
+    std::int64_t claimWritesPerSecond = 20;
+    std::int64_t claimedCommands = 4096;
+    std::chrono::milliseconds quarantinePeriod{600000};
+    std::chrono::milliseconds stopTimeout{15000};
+};
+
+void addSettings(settings &options, program_settings &values)
+{
+    addInstanceSettings(options, values.instance);
+    options.addEndpoint("platform", values.platform, "IP:port of the platform's object API", true);
+    options.addNumber("queue-length", values.queueLength, 1, 65536, "queued attempts for each target");
+    options.addNumber("front-connections", values.frontConnections, 1, 65536, "connections from front ends");
+    options.addNumber("stored-spans", values.storedSpans, 1, 1000000, "finished spans kept in memory");
+    options.addNumber("claim-writes-per-second", values.claimWritesPerSecond, 1, 1000, "writes of command claims to the platform a second");
+    options.addNumber("claimed-commands", values.claimedCommands, 1, 1000000, "commands whose outcome isn't recorded yet");
+    options.addDuration("quarantine-period",
+                        values.quarantinePeriod,
+                        std::chrono::seconds(1),
+                        std::chrono::hours(24),
+                        "how long a request that crashed two targets is refused");
+    options.addDuration("stop-timeout",
+                        values.stopTimeout,
+                        std::chrono::milliseconds(0),
+                        std::chrono::minutes(10),
+                        "how long a planned stop waits for targets to be handed over and for work in flight");
+}
+
+/// The whole program: control connection, dispatcher, frame server and admin server.
+class dispatch_program
+{
+public:
+    explicit dispatch_program(const program_settings &values)
+        : m_settings(values)
+        , m_spans(static_cast<std::size_t>(values.storedSpans))
+        , m_store(makeHttpObjectStore(storeSettings(), m_numbers))
+        , m_dispatcher(m_context, dispatcherSettings(), *m_store, m_numbers, m_spans, dispatcherControl())
+        , m_control(m_context,
+                    values.instance.local(values.instance.controlPort),
+                    m_identity,
+                    m_numbers,
+                    {[this](const control_state &state) { m_dispatcher.apply(state); }, [this] { return m_dispatcher.status(); }})
+        , m_frames(m_context,
+                   frame_limits{},
+                   static_cast<std::size_t>(values.frontConnections),
+                   m_numbers,
+                   [this](frame_connection::pointer connection) { return m_dispatcher.serve(std::move(connection)); })
+        , m_admin(m_context, http_limits{}, m_numbers, [this](http_request request) { return answerAdmin(std::move(request)); })
+    {
+    }
+
+    /// Runs until a stop signal; returns the exit code.
+    int run()
+    {
+        const auto framesListen = m_frames.listen(m_settings.instance.local(m_settings.instance.dispatchPort));
+        const auto adminListens = m_admin.listen(m_settings.instance.local(m_settings.instance.dispatchHttpPort));
+        for (const auto &listening : {framesListen, adminListens}) {
+            if (!listening) {
+                logError("dispatch", describe(listening.error()));
+                return EXIT_FAILURE;
+            }
+        }
+        m_dispatcher.start();
+        m_control.start();
+        onStopSignal(m_context, [this] { asio::co_spawn(m_context, stopWhenIdle(), asio::detached); });
+        logInfo("dispatch", "serving as " + m_settings.instance.instance);
+        m_context.run();
+        return EXIT_SUCCESS;
+    }
+
+private:
+    dispatcher_settings dispatcherSettings()
+    {
+        m_identity = {m_settings.instance.instance, randomId(), program_role::Dispatch, m_settings.instance.dataCentre};
+        dispatcher_settings values;
+        values.identity = m_identity;
+        values.bindAddress = m_settings.instance.listenAddress;
+        values.queueLimit = static_cast<std::size_t>(m_settings.queueLength);
+        values.quarantinePeriod = m_settings.quarantinePeriod;
+        values.claims.writesPerSecond = static_cast<std::uint32_t>(m_settings.claimWritesPerSecond);
+        values.claims.commands = static_cast<std::size_t>(m_settings.claimedCommands);
+        return values;
+    }
+
+    object_store_settings storeSettings() const
+    {
+        object_store_settings values;
+        values.platform = m_settings.platform;
+        values.bindAddress = m_settings.instance.listenAddress;
+        return values;
+    }
+
+    dispatcher_control dispatcherControl()
+    {
+        return {[this] { return m_control.isEntitled(); }, [this] { m_control.reportStatus(); }};
+    }
+
+    asio::awaitable<http_response> answerAdmin(http_request request)
+    {
+        if (request.method == "GET" && request.path == "/v1/targets") {
+            co_return m_dispatcher.describeTargets();
+        }
+        const auto answer = adminResponse(request, m_numbers, m_spans, m_dispatcher.isReady());
+        co_return answer ? *answer : errorResponse(404, "no such path");
+    }
+
+    /// The controller hands the targets over while front ends still send; the program ends when nothing is left to do.
+    asio::awaitable<void> stopWhenIdle()
+    {
+        logInfo("dispatch", "stopping");
+        const auto end = boot_clock::now() + m_settings.stopTimeout;
+        asio::steady_timer timer(m_context);
+        while (boot_clock::now() < end && !(m_dispatcher.isReleased() && m_dispatcher.isIdle())) {
+            boost::system::error_code ignored;
+            timer.expires_after(StopCheckPeriod);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        m_frames.stop();
+        m_admin.stop();
+        m_control.stop();
+        m_dispatcher.stop();
+        m_context.stop();
+    }
+
+    program_settings m_settings;
+    asio::io_context m_context;
+    counters m_numbers;
+    span_store m_spans;
+    hello m_identity;
+    std::unique_ptr<object_store> m_store;
+    dispatcher m_dispatcher;
+    control_client m_control;
+    frame_server m_frames;
+    http_server m_admin;
+};
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    program_settings values;
+    settings options("balsam-dispatch: runs sub-queries and commands on the targets that this instance owns");
+    addSettings(options, values);
+    if (const auto exitCode = options.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
+    startLogging("balsam-dispatch");
+    return dispatch_program(values).run();
+}
