--- /dev/null
+++ b/programs/balsamctl.cpp
@@ -0,0 +1,397 @@
+#include "base/base.h"
+#include "programs/operator_client.h"
+#include "programs/plan_printer.h"
+#include "programs/trace_tree.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+using namespace balsamhook;
+using nlohmann::json;
+
+namespace
+{
+
+/// Exit codes of the program.
+enum class ending : std::uint8_t {
+    Done = 0,
+    Refused = 1,
+    Usage = 2,
+    Unreachable = 3,
+};
+
+struct command_line
+{
+    endpoint controller{"127.0.0.1", 7080};
+    std::chrono::milliseconds timeout{10000};
+    bool yes = false;
+    bool raw = false;
+    std::string file;
+    std::string name;
+    std::string planId;
+    std::string trace;
+    std::int64_t dispatchHttpPort = 7081;
+    bool override = false;
+    std::string dataCentre;
+    std::string address;
+    std::string service;
+    std::string shard;
+    std::uint32_t slots = 2;
+    std::uint32_t connections = 25;
+    std::uint32_t coldSlots = 1;
+    std::int64_t deadline = -1;
+    std::int64_t answerAfter = -1;
+    double minimumCoverage = -1.0;
+    double hedgePercent = -1.0;
+};
+
+ending unreachable(const error &failed)
+{
+    std::cerr << "balsamctl: " << describe(failed) << "\n";
+    return ending::Unreachable;
+}
+
+ending refused(const http_response &response)
+{
+    std::cerr << refusalForOperator(response.status, response.body);
+    return ending::Refused;
+}
+
+bool isSuccess(const http_response &response)
+{
+    return response.status >= 200 && response.status < 300;
+}
+
+result<std::string> readInput(const std::string &file)
+{
+    std::ostringstream text;
+    if (file == "-") {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    std::ifstream stream(file);
+    if (!stream) {
+        return failure(error_code::NotFound, error_step::Settings, "", "file " + file + " can't be read");
+    }
+    text << stream.rdbuf();
+    return text.str();
+}
+
+/// The commands of the program, each of which talks to one controller.
+class operator_console
+{
+public:
+    explicit operator_console(const command_line &values)
+        : m_values(values)
+        , m_client(values.controller, values.timeout)
+    {
+    }
+
+    ending show(const std::string &path) const
+    {
+        const result<http_response> response = m_client.call("GET", path);
+        if (!response) {
+            return unreachable(response.error());
+        }
+        if (!isSuccess(response.value())) {
+            return refused(response.value());
+        }
+        std::cout << (m_values.raw ? response.value().body + "\n" : jsonForOperator(response.value().body));
+        return ending::Done;
+    }
+
+    /// Makes a plan of a file: an intent, or a configuration document that is to be applied.
+    ending planFile(bool thenConfirm) const
+    {
+        const result<std::string> text = readInput(m_values.file);
+        if (!text) {
+            std::cerr << "balsamctl: " << describe(text.error()) << "\n";
+            return ending::Usage;
+        }
+        const json content = json::parse(text.value(), nullptr, false);
+        if (!content.is_object()) {
+            std::cerr << "balsamctl: " << m_values.file << " is not a JSON object\n";
+            return ending::Usage;
+        }
+        return plan(content.contains("intent") ? content : json{{"intent", "apply_configuration"}, {"document", content}}, thenConfirm);
+    }
+
+    ending plan(const json &intent, bool thenConfirm) const
+    {
+        const result<http_response> response = m_client.call("POST", "/v1/plans", intent.dump());
+        if (!response) {
+            return unreachable(response.error());
+        }
+        if (!isSuccess(response.value())) {
+            return refused(response.value());
+        }
+        return thenConfirm ? showAndConfirm(response.value().body) : showPlan(response.value().body);
+    }
+
+    ending showPlan(const std::string &body) const
+    {
+        std::cout << (m_values.raw ? body + "\n" : planForOperator(body)) << std::flush;
+        return ending::Done;
+    }
+
+    ending readPlan(bool thenConfirm) const
+    {
+        const result<http_response> response = m_client.call("GET", "/v1/plans/" + m_values.planId);
+        if (!response) {
+            return unreachable(response.error());
+        }
+        if (!isSuccess(response.value())) {
+            return refused(response.value());
+        }
+        return thenConfirm ? showAndConfirm(response.value().body) : showPlan(response.value().body);
+    }
+
+    ending trace() const
+    {
+        const result<http_response> members = m_client.call("GET", "/v1/members");
+        if (!members) {
+            return unreachable(members.error());
+        }
+        trace_tree tree;
+        for (const endpoint &program : programsOf(members.value().body)) {
+            const result<http_response> spans = m_client.read(program, "/v1/spans", "trace", m_values.trace);
+            if (!spans || !tree.add(spans.value().body)) {
+                std::cerr << "balsamctl: no spans from " << describe(program) << "\n";
+            }
+        }
+        if (tree.isEmpty()) {
+            std::cerr << "balsamctl: no program knows trace " << m_values.trace << "\n";
+            return ending::Refused;
+        }
+        std::cout << tree.text();
+        return ending::Done;
+    }
+
+private:
+    bool isConfirmed() const
+    {
+        if (m_values.yes) {
+            return true;
+        }
+        std::cout << "Confirm this plan? [yes/no] " << std::flush;
+        std::string answer;
+        std::getline(std::cin, answer);
+        return answer == "yes" || answer == "y";
+    }
+
+    ending showAndConfirm(const std::string &body) const
+    {
+        showPlan(body);
+        const json plan = json::parse(body, nullptr, false);
+        if (!plan.is_object() || !plan.contains("plan") || !plan.contains("digest")) {
+            std::cerr << "balsamctl: the controller's answer has no plan and digest\n";
+            return ending::Refused;
+        }
+        if (!isConfirmed()) {
+            std::cout << "not confirmed; nothing changes\n";
+            return ending::Refused;
+        }
+        const std::string id = plan.at("plan").get<std::string>();
+        const result<http_response> response = m_client.call("POST", "/v1/plans/" + id + "/confirm", json{{"digest", plan.at("digest")}}.dump());
+        if (!response) {
+            return unreachable(response.error());
+        }
+        if (!isSuccess(response.value())) {
+            return refused(response.value());
+        }
+        std::cout << (m_values.raw ? response.value().body + "\n" : jsonForOperator(response.value().body));
+        return ending::Done;
+    }
+
+    /// The HTTP addresses of all programs of all members.
+    std::set<endpoint> programsOf(const std::string &members) const
+    {
+        std::set<endpoint> programs;
+        const json body = json::parse(members, nullptr, false);
+        const json list = body.is_object() ? body.value("members", json::array()) : body;
+        for (const json &member : list) {
+            for (const char *field : {"front", "operator"}) {
+                addEndpoint(programs, member, field, 0);
+            }
+            addEndpoint(programs, member, "dispatch", m_values.dispatchHttpPort);
+        }
+        return programs;
+    }
+
+    static void addEndpoint(std::set<endpoint> &programs, const json &member, const std::string &field, std::int64_t otherPort)
+    {
+        for (const std::string &name : {field, field + "_endpoint"}) {
+            if (!member.is_object() || !member.contains(name) || !member.at(name).is_string()) {
+                continue;
+            }
+            const result<endpoint> parsed = parseEndpoint(member.at(name).get<std::string>());
+            if (parsed) {
+                programs.insert({parsed.value().address, otherPort == 0 ? parsed.value().port : static_cast<std::uint16_t>(otherPort)});
+            }
+        }
+    }
+
+    const command_line &m_values;
+    operator_client m_client;
+};
+
+json dataCentreIntent(const command_line &values, const char *intent)
+{
+    json wanted{{"intent", intent}, {"data_centre", values.name}};
+    if (values.override) {
+        wanted["override"] = true;
+    }
+    return wanted;
+}
+
+json addTargetIntent(const command_line &values)
+{
+    const json target{{"name", values.name},
+                      {"data_centre", values.dataCentre},
+                      {"address", values.address},
+                      {"slots", values.slots},
+                      {"connections", values.connections},
+                      {"cold_slots", values.coldSlots},
+                      {"state", "in"}};
+    return {{"intent", "add_target"}, {"target", target}, {"service", values.service}, {"shard", values.shard}};
+}
+
+json retireTargetIntent(const command_line &values)
+{
+    json wanted{{"intent", "retire_target"}, {"target", values.name}};
+    if (values.override) {
+        wanted["override"] = true;
+    }
+    return wanted;
+}
+
+json policyIntent(const command_line &values)
+{
+    json wanted{{"intent", "set_service_policy"}, {"service", values.service}};
+    if (values.deadline >= 0) {
+        wanted["deadline_ms"] = values.deadline;
+    }
+    if (values.minimumCoverage >= 0.0) {
+        wanted["minimum_coverage"] = values.minimumCoverage;
+    }
+    if (values.answerAfter >= 0) {
+        wanted["answer_after_ms"] = values.answerAfter;
+    }
+    if (values.hedgePercent >= 0.0) {
+        wanted["hedge_percent"] = values.hedgePercent;
+    }
+    return wanted;
+}
+
+using action = std::function<ending(const operator_console &)>;
+
+void addReadCommands(CLI::App &app, command_line &values, action &chosen)
+{
+    const auto add = [&app, &chosen](const std::string &name, const std::string &help, const std::string &path) {
+        app.add_subcommand(name, help)->callback([&chosen, path] { chosen = [path](const operator_console &console) { return console.show(path); }; });
+    };
+    add("plans", "list the plans", "/v1/plans");
+    add("configuration", "show the configuration in force", "/v1/configuration");
+    add("members", "show the instances", "/v1/members");
+    add("status", "show the state of the fleet", "/v1/status");
+    CLI::App *trace = app.add_subcommand("trace", "print the spans of one trace from all instances as a tree");
+    trace->add_option("id", values.trace, "trace id (32 hexadecimal digits)")->required();
+    trace->add_option("--dispatch-http-port", values.dispatchHttpPort, "HTTP port of the dispatchers [7081]")->check(CLI::Range(1, 65535));
+    trace->callback([&chosen] { chosen = [](const operator_console &console) { return console.trace(); }; });
+}
+
+void addPlanCommands(CLI::App &app, command_line &values, action &chosen)
+{
+    CLI::App *plan = app.add_subcommand("plan", "make a plan of an intent or a configuration document, without confirming it");
+    plan->add_option("file", values.file, "JSON file, or - for standard input")->required();
+    plan->callback([&chosen] { chosen = [](const operator_console &console) { return console.planFile(false); }; });
+    CLI::App *apply = app.add_subcommand("apply", "make a plan, show it and confirm it");
+    apply->add_option("file", values.file, "JSON file, or - for standard input (needs --yes)")->required();
+    apply->callback([&chosen] { chosen = [](const operator_console &console) { return console.planFile(true); }; });
+    CLI::App *show = app.add_subcommand("show", "show one plan");
+    show->add_option("plan", values.planId, "id of the plan")->required();
+    show->callback([&chosen] { chosen = [](const operator_console &console) { return console.readPlan(false); }; });
+    CLI::App *confirm = app.add_subcommand("confirm", "show a plan and confirm it");
+    confirm->add_option("plan", values.planId, "id of the plan")->required();
+    confirm->callback([&chosen] { chosen = [](const operator_console &console) { return console.readPlan(true); }; });
+}
+
+void addIntent(CLI::App *command, command_line &values, action &chosen, json (*makeIntent)(const command_line &))
+{
+    command->callback([&values, &chosen, makeIntent] {
+        const json intent = makeIntent(values);
+        chosen = [intent](const operator_console &console) { return console.plan(intent, true); };
+    });
+}
+
+void addDataCentreCommands(CLI::App &app, command_line &values, action &chosen)
+{
+    CLI::App *dataCentre = app.add_subcommand("data-centre", "take a data centre out of service or bring it back")->require_subcommand(1);
+    CLI::App *out = dataCentre->add_subcommand("out", "take it out of service");
+    out->add_option("name", values.name, "name of the data centre")->required();
+    out->add_flag("--override", values.override, "also when a shard loses its last usable replica");
+    addIntent(out, values, chosen, [](const command_line &given) { return dataCentreIntent(given, "take_out_data_centre"); });
+    CLI::App *in = dataCentre->add_subcommand("in", "bring it back");
+    in->add_option("name", values.name, "name of the data centre")->required();
+    addIntent(in, values, chosen, [](const command_line &given) { return dataCentreIntent(given, "bring_back_data_centre"); });
+}
+
+void addTargetCommands(CLI::App &app, command_line &values, action &chosen)
+{
+    CLI::App *target = app.add_subcommand("target", "add or retire a target")->require_subcommand(1);
+    CLI::App *add = target->add_subcommand("add", "add a target to a shard");
+    add->add_option("name", values.name, "name of the target")->required();
+    add->add_option("--data-centre", values.dataCentre, "its data centre")->required();
+    add->add_option("--address", values.address, "IP:PORT")->required();
+    add->add_option("--service", values.service, "service it belongs to")->required();
+    add->add_option("--shard", values.shard, "shard it holds")->required();
+    add->add_option("--slots", values.slots, "concurrent requests [2]");
+    add->add_option("--connections", values.connections, "connections it accepts [25]");
+    add->add_option("--cold-slots", values.coldSlots, "concurrent requests in cold start [1]");
+    addIntent(add, values, chosen, addTargetIntent);
+    CLI::App *retire = target->add_subcommand("retire", "give a target no new work");
+    retire->add_option("name", values.name, "name of the target")->required();
+    retire->add_flag("--override", values.override, "also when a shard loses its last usable replica");
+    addIntent(retire, values, chosen, retireTargetIntent);
+}
+
+void addPolicyCommand(CLI::App &app, command_line &values, action &chosen)
+{
+    CLI::App *policy = app.add_subcommand("policy", "change the policy of a service");
+    policy->add_option("service", values.service, "name of the service")->required();
+    policy->add_option("--deadline-ms", values.deadline, "deadline when the caller gives none")->check(CLI::NonNegativeNumber);
+    policy->add_option("--minimum-coverage", values.minimumCoverage, "lowest acceptable coverage, 0 to 1")->check(CLI::Range(0.0, 1.0));
+    policy->add_option("--answer-after-ms", values.answerAfter, "answer with what there is after this time; 0: wait")->check(CLI::NonNegativeNumber);
+    policy->add_option("--hedge-percent", values.hedgePercent, "extra attempts as a share of first attempts, 0 to 100")->check(CLI::Range(0.0, 100.0));
+    addIntent(policy, values, chosen, policyIntent);
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    command_line values;
+    action chosen;
+    settings options("Operators' tool of balsamhook. Exit codes: 0 done, 1 refused, 2 usage, 3 controller unreachable.");
+    options.addEndpoint("controller", values.controller, "operators' address of any controller [127.0.0.1:7080]");
+    options.addDuration("timeout-ms", values.timeout, std::chrono::milliseconds(100), std::chrono::milliseconds(120000), "how long to wait for the controller");
+    options.addFlag("yes", values.yes, "confirm plans without asking");
+    options.addFlag("json", values.raw, "print the controller's answers as they are");
+    CLI::App &app = options.application();
+    app.require_subcommand(1);
+    app.fallthrough();
+    addReadCommands(app, values, chosen);
+    addPlanCommands(app, values, chosen);
+    addDataCentreCommands(app, values, chosen);
+    addTargetCommands(app, values, chosen);
+    addPolicyCommand(app, values, chosen);
+    if (const std::optional<int> exitCode = options.parse(argumentCount, arguments)) {
+        return *exitCode == 0 ? 0 : static_cast<int>(ending::Usage);
+    }
+    return static_cast<int>(chosen(operator_console(values)));
+}
--- /dev/null
+++ b/programs/tools.cmake
@@ -0,0 +1,5 @@
+balsam_program(balsam-load SOURCES balsam_load.cpp DEPENDS load)
+balsam_program(balsamctl SOURCES balsamctl.cpp operator_client.cpp plan_printer.cpp trace_tree.cpp DEPENDS http)
+target_link_libraries(balsamctl PRIVATE nlohmann_json::nlohmann_json)
+balsam_test(balsamctl SOURCES balsamctl_test.cpp operator_client.cpp plan_printer.cpp trace_tree.cpp DEPENDS http)
+target_link_libraries(balsamctl_test PRIVATE nlohmann_json::nlohmann_json)
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -64,6 +64,8 @@
 {
     site_service service;
     service.name = object.at("name").get<std::string>();
+    service.isCommand = object.value("kind", "query") == "command";
+    service.deadline = std::chrono::milliseconds(object.value("deadline_ms", service.deadline.count()));
     service.layoutEpoch = object.value("layout_epoch", service.layoutEpoch);
     for (const json &shard : object.at("shards")) {
         service.shards.push_back({shard.at("shard").get<std::string>(), shard.at("targets").get<std::vector<std::string>>()});
--- a/standins/site.h
+++ b/standins/site.h
@@ -34,7 +34,9 @@
 struct site_service
 {
     std::string name;
+    bool isCommand = false;
     std::uint64_t layoutEpoch = 1;
+    std::chrono::milliseconds deadline{260};
     std::vector<site_shard> shards;
     service_behaviour behaviour;
 
