membership, control: revoke and write as soon as an object was read

Cause: after a kill the targets were taken over only after 14.0 s on loopback. The controller revoked a lease one period after it had read it, when the reporter had already written a newer version, so that the update met a conflict each time. A new reporter also renewed the lease of its silent predecessor with an old heartbeat. Ruled out: the declaration of deaths (3.5 s) and the guard (one datagram).

--- a/control/control_core.cpp
+++ b/control/control_core.cpp
@@ -43,6 +43,12 @@
             node.provideDocument(pending->revision, known, now);
         }
     }
+    if (node.list().version != loggedListVersion) {
+        loggedListVersion = node.list().version;
+        logInfo("control",
+                "member list version " + std::to_string(loggedListVersion) + " has " + std::to_string(node.list().members.size())
+                    + " members and uses revision " + std::to_string(node.list().revision));
+    }
     refreshApplied();
 }
 
--- a/control/control_core.h
+++ b/control/control_core.h
@@ -68,6 +68,7 @@
     std::map<program_role, local_program> programs;
     bool hasReadConfiguration = false; ///< From the store or a peer, also when it is empty.
     bool stopping = false;
+    std::uint64_t loggedListVersion = 0;
     boot_clock::time_point freshAt; ///< When the configuration was last known to be the newest one.
 };
 
--- a/control/membership_task.cpp
+++ b/control/membership_task.cpp
@@ -81,10 +81,12 @@
 {
     asio::steady_timer timer(m_core.context);
     while (true) {
+        m_core.confirmFreshness();
         m_core.refreshApplied();
         for (const membership_action &action : m_core.node.tick(boot_clock::now())) {
             perform(action);
         }
+        react();
         m_core.numbers.set("member_list_version", static_cast<std::int64_t>(m_core.node.list().version));
         m_core.numbers.set("configuration_revision", static_cast<std::int64_t>(m_core.configuration.revision()));
         timer.expires_after(TickPeriod);
@@ -92,6 +94,13 @@
     }
 }
 
+void membership_task::react()
+{
+    for (const membership_action &action : m_core.node.react(boot_clock::now())) {
+        perform(action);
+    }
+}
+
 void membership_task::perform(const membership_action &action)
 {
     if (const auto *sent = std::get_if<send_gossip>(&action)) {
@@ -132,6 +141,7 @@
         m_core.node.storeFailed(call.kind, call.name);
     }
     m_core.exchange();
+    react();
 }
 
 asio::awaitable<void> membership_task::writeObject(write_object call)
@@ -142,6 +152,7 @@
         const stored_object object{written.value(), call.value};
         m_core.node.objectRead(call.kind, call.name, object, boot_clock::now());
         m_core.exchange();
+        react();
         co_return;
     }
     const bool mayHaveChanged = written.error().code == error_code::Conflict || written.error().code == error_code::Unsettled;
--- a/control/membership_task.h
+++ b/control/membership_task.h
@@ -21,6 +21,7 @@
     boost::asio::awaitable<void> tickPeriodically();
     boost::asio::awaitable<void> readObject(read_object call);
     boost::asio::awaitable<void> writeObject(write_object call);
+    void react();
     void perform(const membership_action &action);
     void sendDatagram(const send_gossip &sent);
 
--- a/membership/membership_node.cpp
+++ b/membership/membership_node.cpp
@@ -477,18 +477,44 @@
     updateState(now);
 
     std::vector<membership_action> actions;
-    for (const std::string &peerEndpoint : gossipTargets(now)) {
-        actions.push_back(send_gossip{peerEndpoint, datagramFor(peerEndpoint, now)});
-    }
+    ping(actions, now);
     // Revocations first: an object takes one call at a time, and the renewal of the same object can wait for the next period.
-    if (isController(now) && !m_left) {
+    if (mayWriteList(now)) {
         revokeLeases(actions, now);
     }
     renewLeases(actions, now);
-    maintainList(actions, now);
+    if (mayWriteList(now)) {
+        writeList(actions, now);
+    }
+    readObjects(actions, now);
     return actions;
 }
 
+std::vector<membership_action> membership_node::react(boot_clock::time_point now)
+{
+    std::vector<membership_action> actions;
+    if (!m_lastTick) {
+        return actions;
+    }
+    if (m_gossipedRevision < m_appliedRevision || m_gossipedListVersion < m_appliedListVersion) {
+        ping(actions, now);
+    }
+    if (mayWriteList(now)) {
+        revokeLeases(actions, now);
+        writeList(actions, now);
+    }
+    return actions;
+}
+
+void membership_node::ping(std::vector<membership_action> &actions, boot_clock::time_point now)
+{
+    for (const std::string &peerEndpoint : gossipTargets(now)) {
+        actions.push_back(send_gossip{peerEndpoint, datagramFor(peerEndpoint, now)});
+    }
+    m_gossipedRevision = m_appliedRevision;
+    m_gossipedListVersion = m_appliedListVersion;
+}
+
 void membership_node::declareDeaths(boot_clock::time_point now)
 {
     if (!isMember()) {
@@ -642,7 +668,9 @@
         const peer_state *peer = listedPeer(member);
         const std::uint64_t heard = member.entry.instance == m_self.instance ? m_sequence : (peer == nullptr ? 0 : peer->sequence);
         // A list that is newer than the revocation still contains the member, so no removal can follow from the revocation.
-        const bool mayRenew = lease.revokedAt < m_list.version;
+        // A heartbeat that isn't recent would only make the others count again from now that the member is silent.
+        const bool isRecent = member.entry.instance == m_self.instance || (peer != nullptr && now - peer->heardAt <= 2 * m_settings.heartbeat);
+        const bool mayRenew = lease.revokedAt < m_list.version && isRecent;
         if (mayRenew && heard > lease.sequence) {
             lease = {member.incarnation, heard, 0};
         }
@@ -794,16 +822,24 @@
     return next;
 }
 
-void membership_node::maintainList(std::vector<membership_action> &actions, boot_clock::time_point now)
+bool membership_node::mayWriteList(boot_clock::time_point now) const
 {
-    if (m_left) {
-        return;
+    return !m_left && isController(now);
+}
+
+void membership_node::readObjects(std::vector<membership_action> &actions, boot_clock::time_point now)
+{
+    // A joining instance learns from the store whom to ask.
+    const bool needsList = mayWriteList(now) || (!isMember() && !m_left);
+    if (needsList) {
+        add(actions, read_object{"members", "list"});
     }
-    if (!isController(now)) {
-        // A joining instance learns from the store whom to ask.
-        if (!isMember()) {
-            add(actions, read_object{"members", "list"});
-        }
+    // The second in the ranking observes leases, too, so that it need not start to count when the first one fails.
+    const auto live = ranking(now);
+    const bool isObserver = std::any_of(live.begin(), live.begin() + std::min<std::ptrdiff_t>(2, std::ssize(live)), [&](const listed_member *member) {
+        return member->entry.instance == m_self.instance;
+    });
+    if (!mayWriteList(now) && !isObserver) {
         return;
     }
     std::set<std::string> dataCentres;
@@ -813,9 +849,12 @@
     for (const std::string &dataCentre : dataCentres) {
         add(actions, read_object{"leases", dataCentre});
     }
+}
+
+void membership_node::writeList(std::vector<membership_action> &actions, boot_clock::time_point now)
+{
     const bool isCurrent = m_listObjectVersion && m_storedListVersion == m_list.version && !m_pending;
     if (!isCurrent) {
-        add(actions, read_object{"members", "list"});
         return;
     }
     member_list next = nextList(now);
@@ -832,7 +871,6 @@
                             return keyOf(left) == keyOf(right);
                         });
     if (!isConfirmed || (isSame && !needsReinstatement(now)) || m_documents.count(next.revision) == 0) {
-        add(actions, read_object{"members", "list"});
         return;
     }
     next.nonce = m_incarnation + "-" + std::to_string(m_sequence);
--- a/membership/membership_node.h
+++ b/membership/membership_node.h
@@ -82,6 +82,10 @@
     /// Does the periodic work; does nothing when called again within the heartbeat period.
     std::vector<membership_action> tick(boot_clock::time_point now);
 
+    /// Does what can't wait for the next period: tells the others what was applied, revokes leases and writes the list on objects that were just
+    /// read. Writes that wait for the next period would meet a newer version each time, because reporters write once a period, too.
+    std::vector<membership_action> react(boot_clock::time_point now);
+
     void receive(const gossip &datagram, boot_clock::time_point now);
 
     /// Takes an object that was read or written; no value when it doesn't exist.
@@ -203,7 +207,10 @@
     void addRumours(gossip &datagram, boot_clock::time_point now);
 
     void renewLeases(std::vector<membership_action> &actions, boot_clock::time_point now);
-    void maintainList(std::vector<membership_action> &actions, boot_clock::time_point now);
+    bool mayWriteList(boot_clock::time_point now) const;
+    void readObjects(std::vector<membership_action> &actions, boot_clock::time_point now);
+    void writeList(std::vector<membership_action> &actions, boot_clock::time_point now);
+    void ping(std::vector<membership_action> &actions, boot_clock::time_point now);
     void revokeLeases(std::vector<membership_action> &actions, boot_clock::time_point now);
     void add(std::vector<membership_action> &actions, membership_action action);
     bool hasLeaseExpired(const listed_member &member, boot_clock::time_point now) const;
@@ -246,6 +253,8 @@
     std::string m_newestRoot;
     std::uint64_t m_appliedRevision = 0;
     std::uint64_t m_appliedListVersion = 0;
+    std::uint64_t m_gossipedRevision = 0; ///< What the last datagrams told.
+    std::uint64_t m_gossipedListVersion = 0;
     bool m_left = false;
 };
 
--- a/membership/membership_test.cpp
+++ b/membership/membership_test.cpp
@@ -302,6 +302,15 @@
         if (at.stopping && self != nullptr && self->entry.leaving && at.active.empty()) {
             at.node->finishLeaving();
         }
+        react(index);
+    }
+
+    void react(std::size_t index)
+    {
+        machine &at = m_machines[index];
+        for (membership_action &action : at.node->react(m_now + at.clockOffset)) {
+            perform(index, std::move(action));
+        }
     }
 
     /// What the program around the logic does: fetch newer lists from a peer, and documents.
@@ -398,6 +407,7 @@
         }
         const auto now = m_now + at.clockOffset;
         at.node->objectRead(kind, name, object.version == 0 ? std::nullopt : std::optional(object), now);
+        react(call.from);
     }
 
     bool isCut(std::size_t left, std::size_t right) const
