control: test the controller, move its tasks into a class

Change: control_test runs up to three controllers in one process over a store in memory. The section cache keeps what is in force; a root of one document names 21 sections, so that a bound of 64 could drop sections that peers still fetch.

--- a/control/configuration_state.cpp
+++ b/control/configuration_state.cpp
@@ -1,5 +1,8 @@
 #include "control/configuration_state.h"
 
+#include <algorithm>
+#include <set>
+
 namespace balsamhook
 {
 
@@ -7,8 +10,8 @@
 {
 
 constexpr std::size_t DocumentsKept = 8;
-/// Three sections for each of some recent revisions; a section that was dropped is fetched again.
-constexpr std::size_t SectionsKept = 64;
+/// A document has about twenty sections, most of which stay the same from one revision to the next. A section that was dropped is fetched again.
+constexpr std::size_t SectionsKept = 256;
 
 } // namespace
 
@@ -52,13 +55,14 @@
 
 std::vector<std::string> configuration_state::missingSections(const configuration_root &root) const
 {
-    std::vector<std::string> missing;
+    // Empty sections have the same text and so the same hash.
+    std::set<std::string> missing;
     for (const auto &[name, hash] : root.sections) {
         if (m_sections.count(hash) == 0) {
-            missing.push_back(hash);
+            missing.insert(hash);
         }
     }
-    return missing;
+    return {missing.begin(), missing.end()};
 }
 
 void configuration_state::addSection(const section_text &section)
@@ -67,9 +71,16 @@
         return;
     }
     m_sectionOrder.push_back(section.hash);
-    if (m_sectionOrder.size() > SectionsKept) {
-        m_sections.erase(m_sectionOrder.front());
-        m_sectionOrder.pop_front();
+    const auto isInForce = [this](const std::string &hash) {
+        return std::any_of(m_root.sections.begin(), m_root.sections.end(), [&](const auto &named) { return named.second == hash; });
+    };
+    if (m_sectionOrder.size() <= SectionsKept) {
+        return;
+    }
+    const auto oldest = std::find_if_not(m_sectionOrder.begin(), m_sectionOrder.end(), isInForce);
+    if (oldest != m_sectionOrder.end()) {
+        m_sections.erase(*oldest);
+        m_sectionOrder.erase(oldest);
     }
 }
 
--- a/control/control_core.cpp
+++ b/control/control_core.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-control_core::control_core(asio::io_context &ioContext, control_settings settings)
+control_core::control_core(asio::io_context &ioContext, control_settings settings, std::unique_ptr<object_store> otherStore)
     : context(ioContext)
     , values(std::move(settings))
     , spans(SpanCapacity)
-    , store(makeHttpObjectStore({values.platform, values.instance.listenAddress, values.storeTimeout}, numbers))
+    , store(otherStore ? std::move(otherStore) : makeHttpObjectStore({values.platform, values.instance.listenAddress, values.storeTimeout}, numbers))
     , incarnation(randomId())
     , node(values.instance.memberEntry(), incarnation, membership_settings(), stableHash(incarnation))
 {
--- a/control/control_core.h
+++ b/control/control_core.h
@@ -30,7 +30,8 @@
 /// State that the tasks of one controller share. All of them run on the thread of the io_context.
 struct control_core
 {
-    control_core(boost::asio::io_context &ioContext, control_settings settings);
+    /// Talks to the platform over HTTP unless another store is given.
+    control_core(boost::asio::io_context &ioContext, control_settings settings, std::unique_ptr<object_store> otherStore = nullptr);
 
     /// Adopts what the configuration state and the membership logic can give each other. Call it after either changed.
     void exchange();
--- a/programs/balsam_control.cpp
+++ b/programs/balsam_control.cpp
@@ -2,8 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 using namespace balsamhook;
 namespace asio = boost::asio;
@@ -11,68 +9,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds StopCheckPeriod{100};
-/// Two heartbeats, so that the others learn that this instance has left.
-constexpr std::chrono::milliseconds FarewellTime{1100};
-
-/// The tasks of one controller.
-struct controller
-{
-    controller(asio::io_context &context, control_settings values)
-        : core(context, std::move(values))
-        , configuration(core)
-        , membership(core)
-        , programs(core)
-        , operators(core, configuration)
-    {
-    }
-
-    result<void> start()
-    {
-        BOOST_OUTCOME_TRY(membership.start());
-        BOOST_OUTCOME_TRY(programs.start());
-        BOOST_OUTCOME_TRY(operators.start());
-        configuration.start();
-        return success();
-    }
-
-    /// True when the targets have successors and nothing is in flight.
-    bool hasHandedOver() const
-    {
-        const listed_member *self = core.node.list().find(core.values.instance.instance);
-        const bool isMarked = self == nullptr || self->entry.leaving;
-        return isMarked && core.node.actionable().empty() && programs.areIdle();
-    }
-
-    control_core core;
-    configuration_task configuration;
-    membership_task membership;
-    local_programs programs;
-    operator_api operators;
-};
-
-asio::awaitable<void> stopPlanned(controller &running)
-{
-    running.core.stopping = true;
-    running.core.node.startLeaving();
-    logInfo("control", "leaving; waiting for the targets to be handed over");
-    const auto limit = boot_clock::now() + running.core.values.stopLimit;
-    asio::steady_timer timer(running.core.context);
-    while (!running.hasHandedOver() && boot_clock::now() < limit) {
-        timer.expires_after(StopCheckPeriod);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-    if (running.hasHandedOver()) {
-        running.core.node.finishLeaving();
-        timer.expires_after(FarewellTime);
-        co_await timer.async_wait(asio::use_awaitable);
-        logInfo("control", "stopped");
-    } else {
-        logWarning("control", "stopped before everything was handed over");
-    }
-    running.core.context.stop();
-}
-
 int run(control_settings values)
 {
     asio::io_context context(1);
@@ -81,8 +17,9 @@
         logError("control", describe(started.error()));
         return 1;
     }
-    logInfo("control", "instance " + running.core.values.instance.instance + " listens on " + running.core.values.instance.listenAddress);
-    onStopSignal(context, [&] { asio::co_spawn(context, stopPlanned(running), asio::detached); });
+    const instance_settings &self = running.core().values.instance;
+    logInfo("control", "instance " + self.instance + " listens on " + self.listenAddress);
+    onStopSignal(context, [&] { asio::co_spawn(context, running.stopPlanned(), asio::detached); });
     context.run();
     return 0;
 }
