--- a/query/running_query.cpp
+++ b/query/running_query.cpp
@@ -28,6 +28,10 @@
 /// Shortest wait before a hedge, so that the percentile of a very fast shard causes no hedges by timer granularity.
 constexpr std::chrono::microseconds LeastHedgeDelay{1000};
 
+/// A target that its owner refused as not its own or not reachable is passed over for this time when there is another replica. Without it, each query
+/// would spend a token on such a target until the next control state or report.
+constexpr std::chrono::milliseconds AvoidAfterRefusal{500};
+
 bool isRetryable(refusal_reason reason)
 {
     switch (reason) {
@@ -48,6 +52,22 @@
     }
 }
 
+/// True when the owner refuses everything for the target for a while, without a report that says so.
+bool isLasting(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::NotOwner:
+    case refusal_reason::TargetLeaving:
+    case refusal_reason::DataCentreOut:
+    case refusal_reason::TargetUnreachable:
+    case refusal_reason::UnknownTarget:
+    case refusal_reason::Stopping:
+        return true;
+    default:
+        return false;
+    }
+}
+
 std::chrono::microseconds elapsed(boot_clock::time_point since, boot_clock::time_point now)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now - since);
@@ -278,6 +298,9 @@
     progress.missingReason = reasonName(reason);
     progress.failures += reason == refusal_reason::TargetFailed || reason == refusal_reason::None ? 1 : 0;
     m_environment.numbers.add("attempts_refused_total{reason=\"" + progress.missingReason + "\"}");
+    if (isLasting(reason)) {
+        m_environment.targets.avoid(ended.target, now + AvoidAfterRefusal);
+    }
     if (!progress.waiting.empty()) {
         return;
     }
--- a/query/target_view.cpp
+++ b/query/target_view.cpp
@@ -16,6 +16,12 @@
 /// A slow target is tried again after its estimate has decayed: 10 s keeps a target that is ten times slower at one trial in 33 s.
 constexpr std::chrono::seconds LatencyHalfLife{10};
 
+/// Targets that are reported but not listed; bounds what a faulty dispatcher can make a front end keep.
+constexpr std::size_t UnlistedTargets = 4096;
+
+/// Makes any replica that isn't avoided the better choice, while an avoided one is still better than none.
+constexpr std::chrono::microseconds AvoidPenalty{10000000};
+
 constexpr double SampleWeight = 0.3;
 
 /// Optimistic, so that a target without samples gets some.
@@ -34,16 +40,22 @@
             known.latencyMicroseconds = 0;
         }
     }
-    std::erase_if(m_targets, [&](const auto &item) { return !listed.contains(item.first); });
+    for (auto &[target, known] : m_targets) {
+        if (!listed.contains(target)) {
+            known.owner.clear();
+        }
+    }
+    std::erase_if(m_targets, [](const auto &item) { return item.second.owner.empty() && item.second.reports.empty(); });
+    m_listed = listed.size();
 }
 
 void target_view::update(const std::string &instance, const target_report &report)
 {
-    const auto found = m_targets.find(report.target);
-    if (found == m_targets.end()) {
+    const bool full = m_targets.size() >= m_listed + UnlistedTargets;
+    if (report.target.empty() || (full && !m_targets.contains(report.target))) {
         return;
     }
-    auto &reports = found->second.reports;
+    auto &reports = m_targets[report.target].reports;
     const auto known = std::find_if(reports.begin(), reports.end(), [&](const instance_report &item) { return item.instance == instance; });
     if (known != reports.end()) {
         known->report = report;
@@ -127,7 +139,16 @@
     single = std::max(single, UnknownLatencyMicroseconds);
     const std::uint32_t slots = reported == nullptr ? 1 : std::max<std::uint32_t>(reported->slotLimit, 1);
     const std::uint32_t waiting = known->outstanding + (reported == nullptr ? 0 : reported->queueLength);
-    return std::chrono::microseconds(static_cast<std::int64_t>(single * (1.0 + static_cast<double>(waiting) / slots)));
+    const auto penalty = now < known->avoidUntil ? AvoidPenalty : std::chrono::microseconds(0);
+    return penalty + std::chrono::microseconds(static_cast<std::int64_t>(single * (1.0 + static_cast<double>(waiting) / slots)));
+}
+
+void target_view::avoid(const std::string &target, boot_clock::time_point until)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        found->second.avoidUntil = until;
+    }
 }
 
 void target_view::attemptStarted(const std::string &target)
--- a/query/target_view.h
+++ b/query/target_view.h
@@ -17,10 +17,11 @@
 class target_view
 {
 public:
-    /// Sets the owners. Targets that are not listed are forgotten; a target with another owner than before loses its latency estimate.
+    /// Sets the owners. Targets that are neither listed nor reported are forgotten; a target with another owner than before loses its latency estimate.
     void setOwners(const std::vector<target_owner> &owners);
 
-    /// Takes a report from an instance. It counts once that instance is the target's owner; reports about unknown targets are ignored.
+    /// Takes a report from an instance. It counts once that instance is the target's owner. A dispatcher may learn of a target before this front end
+    /// does and reports only changes, so reports about unlisted targets are kept too, up to a limit.
     void update(const std::string &instance, const target_report &report);
 
     /// Drops all reports of an instance: its connection was lost, so its targets aren't usable until it reports them again.
@@ -44,6 +45,9 @@
     /// Expected time of a new attempt on the target, for comparing replicas.
     std::chrono::microseconds expectedTime(const std::string &target, boot_clock::time_point now) const;
 
+    /// Prefers other replicas until the given time: the owner refused the target for a reason that its reports don't show.
+    void avoid(const std::string &target, boot_clock::time_point until);
+
     void attemptStarted(const std::string &target);
 
     /// Counts an attempt's end. answered: the elapsed time is a latency sample; otherwise it is a lower bound of the latency,
@@ -63,6 +67,7 @@
         std::vector<instance_report> reports; ///< At most a few: the owner, and instances that take over or hand over.
         double latencyMicroseconds = 0; ///< 0: no observation.
         boot_clock::time_point observedAt;
+        boot_clock::time_point avoidUntil;
         std::uint32_t outstanding = 0; ///< Attempts of this front end.
     };
 
@@ -71,6 +76,7 @@
     static double latency(const entry &known, boot_clock::time_point now);
 
     std::unordered_map<std::string, entry> m_targets;
+    std::size_t m_listed = 0; ///< Targets with an owner.
 };
 
 } // namespace balsamhook
