--- a/standins/standins_test.cpp
+++ b/standins/standins_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -377,3 +378,161 @@
         CHECK(refused.value().body == R"({"error":"draining","started":false})");
     }(fixture));
 }
+
+namespace
+{
+
+const endpoint LinkAdmin{"127.0.0.1", 17950};
+
+/// Two instances behind a link: the second echoes on TCP and UDP.
+class link_fixture
+{
+public:
+    link_fixture()
+        : relay(context, link_rules::parse(settingsText()).value(), numbers)
+        , echo(context, http_limits{}, numbers, [](http_request request) { return answer(std::move(request)); })
+    {
+        REQUIRE(relay.start(LinkAdmin).has_value());
+        REQUIRE(echo.listen({"127.10.2.91", 17951}).has_value());
+    }
+
+    static std::string settingsText()
+    {
+        return R"({"entries":[{"advertised":"127.20.1.91","actual":"127.10.1.91","data_centre":"dc1"},
+                              {"advertised":"127.20.2.91","actual":"127.10.2.91","data_centre":"dc2"}],
+                   "tcp_ports":[17951],"udp_ports":[17952],"delays":[{"between":["dc1","dc2"],"ms":20}]})";
+    }
+
+    static asio::awaitable<http_response> answer(http_request request)
+    {
+        co_return textResponse(200, request.peer.substr(0, request.peer.find(':')) + " " + request.body);
+    }
+
+    void run(asio::awaitable<void> task)
+    {
+        bool done = false;
+        asio::co_spawn(context, std::move(task), [&](std::exception_ptr failed) {
+            done = true;
+            context.stop();
+            if (failed) {
+                std::rethrow_exception(failed);
+            }
+        });
+        context.run_for(std::chrono::seconds(10));
+        CHECK(done);
+        relay.stop();
+    }
+
+    asio::io_context context;
+    counters numbers;
+    link_relay relay;
+    http_server echo;
+};
+
+asio::awaitable<void> setLink(std::string state, bool oneWay, std::string from, std::string to)
+{
+    const http_request change = plainRequest("PUT", "/standin/link", json{{"from", from}, {"to", to}, {"state", state}, {"one_way", oneWay}}.dump());
+    const auto done = co_await fetch(LinkAdmin, "", change, Limit);
+    CHECK(done.value().status == 200);
+}
+
+const endpoint RelayedEcho{"127.20.2.91", 17951};
+
+} // namespace
+
+TEST_CASE("the link adds the delay of the source's data centre in both directions and none for callers")
+{
+    link_fixture fixture;
+    fixture.run([]() -> asio::awaitable<void> {
+        const http_request hello = plainRequest("POST", "/", "hello");
+        const auto begin = boot_clock::now();
+        const auto near = co_await fetch(RelayedEcho, "127.30.0.1", hello, Limit);
+        const auto between = boot_clock::now();
+        const auto far = co_await fetch(RelayedEcho, "127.10.1.91", hello, Limit);
+        CHECK(near.value().body == "127.30.0.1 hello");
+        CHECK(far.value().body == "127.20.1.91 hello");
+        CHECK(between - begin < std::chrono::milliseconds(30));
+        CHECK(boot_clock::now() - between >= std::chrono::milliseconds(40));
+    }());
+}
+
+TEST_CASE("a cut resets connections and refuses new ones until it is restored, and leaves other pairs alone")
+{
+    link_fixture fixture;
+    fixture.run([]() -> asio::awaitable<void> {
+        const http_request hello = plainRequest("POST", "/", "hello");
+        auto open = co_await http_connection::open(RelayedEcho, "127.10.1.91", Limit);
+        const auto before = co_await open.value()->exchange(hello, Limit);
+        CHECK(before.has_value());
+        co_await setLink("cut", false, "dc1", "dc2");
+        const auto broken = co_await open.value()->exchange(hello, Limit);
+        CHECK(broken.error().code == error_code::Closed);
+        const auto refused = co_await fetch(RelayedEcho, "127.10.1.91", hello, Limit);
+        CHECK(refused.has_error());
+        const auto other = co_await fetch(RelayedEcho, "127.30.0.1", hello, Limit);
+        CHECK(other.has_value());
+        co_await setLink("pass", false, "dc1", "dc2");
+        const auto after = co_await fetch(RelayedEcho, "127.10.1.91", hello, Limit);
+        CHECK(after.has_value());
+    }());
+}
+
+TEST_CASE("a direction cut alone holds its bytes; they arrive once it passes again")
+{
+    link_fixture fixture;
+    fixture.run([]() -> asio::awaitable<void> {
+        const http_request hello = plainRequest("POST", "/", "hello");
+        co_await setLink("cut", true, "dc2", "dc1");
+        auto held = co_await http_connection::open(RelayedEcho, "127.10.1.91", Limit);
+        REQUIRE(held.has_value());
+        const auto none = co_await held.value()->exchange(hello, std::chrono::milliseconds(150));
+        CHECK(none.error().code == error_code::Timeout);
+        co_await setLink("silent", true, "dc2", "dc1");
+        asio::co_spawn(
+            co_await asio::this_coro::executor,
+            []() -> asio::awaitable<void> {
+                co_await pauseFor(std::chrono::milliseconds(100));
+                co_await setLink("pass", true, "dc2", "dc1");
+            },
+            asio::detached);
+        const auto late = co_await fetch(RelayedEcho, "127.10.1.91", hello, Limit);
+        CHECK(late.has_value());
+    }());
+}
+
+TEST_CASE("datagrams are delayed, come from the sender's advertised address, and are dropped during a cut")
+{
+    link_fixture fixture;
+    fixture.run([](link_fixture &fixture) -> asio::awaitable<void> {
+        using asio::ip::udp;
+        udp::socket sender(fixture.context, udp::endpoint(asio::ip::make_address("127.10.1.91"), 17952));
+        udp::socket receiver(fixture.context, udp::endpoint(asio::ip::make_address("127.10.2.91"), 17952));
+        const udp::endpoint advertised(asio::ip::make_address("127.20.2.91"), 17952);
+        const auto begin = boot_clock::now();
+        sender.send_to(asio::buffer("one", 3), advertised);
+        char received[16];
+        udp::endpoint source;
+        const std::size_t size = co_await receiver.async_receive_from(asio::buffer(received), source, asio::use_awaitable);
+        CHECK(std::string(received, size) == "one");
+        CHECK(source == udp::endpoint(asio::ip::make_address("127.20.1.91"), 17952));
+        CHECK(boot_clock::now() - begin >= std::chrono::milliseconds(20));
+        co_await setLink("cut", false, "127.20.1.91", "dc2");
+        sender.send_to(asio::buffer("two", 3), advertised);
+        co_await pauseFor(std::chrono::milliseconds(60));
+        CHECK(receiver.available() == 0);
+        CHECK(fixture.numbers.value("link_datagrams_dropped_total") == 1);
+    }(fixture));
+}
+
+TEST_CASE("link settings with an unknown data centre or a missing field, and changes with unknown names, are refused")
+{
+    CHECK(link_rules::parse(R"({"entries":[],"tcp_ports":[],"udp_ports":[],"delays":[{"between":["a","b"],"ms":1}]})").has_error());
+    CHECK(link_rules::parse(R"({"entries":[]})").has_error());
+    CHECK(parseLinkState("slow").has_error());
+    link_fixture fixture;
+    fixture.run([]() -> asio::awaitable<void> {
+        const http_request change = plainRequest("PUT", "/standin/link", R"({"from":"dc1","to":"dc9","state":"cut"})");
+        const auto refused = co_await fetch(LinkAdmin, "", change, Limit);
+        CHECK(refused.value().status == 400);
+    }());
+}
