--- a/standins/link_rules.cpp
+++ b/standins/link_rules.cpp
@@ -120,6 +120,7 @@
 std::vector<std::string> link_rules::faults() const
 {
     std::vector<std::string> list;
+    list.reserve(m_states.size());
     for (const auto &[pair, state] : m_states) {
         list.push_back(pair.first + " " + pair.second + " " + std::string(StateNames.at(static_cast<std::size_t>(state))));
     }
