--- a/configuration/configuration.h
+++ b/configuration/configuration.h
@@ -6,4 +6,5 @@
 #include "configuration/document.h"
 #include "configuration/plan.h"
 #include "configuration/plan_machine.h"
+#include "configuration/plan_store.h"
 #include "configuration/root.h"
--- a/configuration/plan.cpp
+++ b/configuration/plan.cpp
@@ -1,6 +1,7 @@
 #include "configuration/plan.h"
 
 #include "configuration/document_json.h"
+#include "configuration/root.h"
 
 #include <algorithm>
 #include <array>
@@ -243,6 +244,18 @@
     return preview;
 }
 
+void readBaseSections(json_reader &reader, plan &proposed, complaints &found)
+{
+    const json &value = reader.any("base_sections");
+    json_reader sections(value, "base_sections", found);
+    if (!found.isEmpty()) {
+        return;
+    }
+    for (const auto &[name, ignored] : value.items()) {
+        proposed.baseSections[name] = sections.name(name);
+    }
+}
+
 plan_state readState(json_reader &reader)
 {
     const json &value = reader.any("state");
@@ -275,6 +288,9 @@
     }
     proposed.id = std::move(id);
     proposed.baseRevision = baseRevision;
+    if (baseRevision > 0) {
+        proposed.baseSections = sectionHashes(current);
+    }
     proposed.steps = describeChanges(current, resulting);
     if (proposed.steps.empty()) {
         proposed.warnings.emplace_back("the plan changes nothing");
@@ -297,6 +313,7 @@
     proposed.id = reader.text("plan", LongestIdBytes);
     proposed.intentJson = reader.text("intent", LargestObjectBytes);
     proposed.baseRevision = reader.number("base_revision", Revision);
+    readBaseSections(reader, proposed, found);
     proposed.revision = reader.number("revision", Revision);
     proposed.state = readState(reader);
     proposed.digest = reader.text("digest", LongestIdBytes);
@@ -320,9 +337,14 @@
     for (const service_preview &preview : proposed.preview) {
         previews.push_back(previewJson(preview));
     }
+    json sections = json::object();
+    for (const auto &[name, hash] : proposed.baseSections) {
+        sections[name] = hash;
+    }
     const json value = {{"plan", proposed.id},
                         {"intent", proposed.intentJson},
                         {"base_revision", proposed.baseRevision},
+                        {"base_sections", std::move(sections)},
                         {"revision", proposed.revision},
                         {"state", nameOf(proposed.state)},
                         {"digest", proposed.digest},
--- a/configuration/plan.h
+++ b/configuration/plan.h
@@ -72,6 +72,7 @@
     std::string id;
     std::string intentJson;
     std::uint64_t baseRevision = 0;
+    std::map<std::string, std::string, std::less<>> baseSections; ///< Hashes of the base's sections; tell what changed since. Empty at revision 0.
     std::uint64_t revision = 0; ///< Revision that the plan made; 0 before it was applied.
     plan_state state = plan_state::Proposed;
     std::string digest; ///< Content hash of intent, base revision and resulting document.
--- a/configuration/root.cpp
+++ b/configuration/root.cpp
@@ -119,15 +119,22 @@
     return texts;
 }
 
+std::map<std::string, std::string, std::less<>> sectionHashes(const configuration_document &document)
+{
+    std::map<std::string, std::string, std::less<>> hashes;
+    const std::vector<section_text> texts = splitSections(document);
+    for (std::size_t i = 0; i < SectionNames.size(); ++i) {
+        hashes[SectionNames[i]] = texts[i].hash;
+    }
+    return hashes;
+}
+
 configuration_root makeRoot(const configuration_document &document, std::uint64_t revision, std::string nonce, std::string plan)
 {
     BALSAM_ASSERT(!nonce.empty());
     configuration_root root;
     root.revision = revision;
-    const std::vector<section_text> texts = splitSections(document);
-    for (std::size_t i = 0; i < SectionNames.size(); ++i) {
-        root.sections[SectionNames[i]] = texts[i].hash;
-    }
+    root.sections = sectionHashes(document);
     root.nonce = std::move(nonce);
     root.plan = std::move(plan);
     return root;
--- a/configuration/root.h
+++ b/configuration/root.h
@@ -32,6 +32,9 @@
 /// Splits a document into its sections, each with its hash.
 std::vector<section_text> splitSections(const configuration_document &document);
 
+/// Returns the names of the document's sections with their hashes.
+std::map<std::string, std::string, std::less<>> sectionHashes(const configuration_document &document);
+
 /// Makes the root of a document. Precondition: nonce isn't empty.
 configuration_root makeRoot(const configuration_document &document, std::uint64_t revision, std::string nonce, std::string plan);
 
