Build balsam-dispatch and detect cold targets sooner

Targets with empty caches take about twice their normal time, which the former bounds (2 and 3 times) did not tell from normal answers. The normal time now follows the median of warm answers, five answers whose median is within 1.5 times of it raise the limit, and a median of eleven beyond 1.8 times, or a status that turns cold, resets it. After a timeout, idle connections without an answer since that attempt was sent are closed.

--- a/dispatch/slot_limit.cpp
+++ b/dispatch/slot_limit.cpp
@@ -9,19 +9,21 @@
 namespace
 {
 
-constexpr std::uint32_t AnswersPerStep = 5;
+constexpr std::size_t AnswersPerStep = 5;
 // Longer than the largest part of a status poll's period, so that a step seldom happens before the target could say that it is cold.
 constexpr std::chrono::milliseconds StepInterval{500};
 // A target that says "cold" for longer than this while it answers at normal service time has a stale status.
 constexpr std::chrono::seconds StatusTrust{60};
-constexpr double NormalFactor = 2.0;
-constexpr double JumpFactor = 3.0;
-constexpr std::size_t JumpSamples = 7;
+// A target with empty caches takes about twice its normal time; both factors lie below that.
+constexpr double NormalFactor = 1.5;
+constexpr double JumpFactor = 1.8;
+constexpr std::size_t JumpSamples = 11;
 constexpr std::size_t RecentSamples = 64;
-constexpr double FallWeight = 0.25;
-constexpr double WarmRiseWeight = 0.01;
+// The normal service time follows the median of warm answers by steps of this share.
+constexpr double WarmStep = 0.01;
+constexpr double ColdFall = 0.02;
 // In cold start the normal service time hardly rises, else a slow cold target would soon count as normal.
-constexpr double ColdRiseWeight = 0.001;
+constexpr double ColdRise = 0.002;
 constexpr double MeanWeight = 0.1;
 
 } // namespace
@@ -45,7 +47,7 @@
     m_slots = slots;
     m_limit = std::clamp(m_limit, m_coldSlots, m_slots);
     m_warm = m_warm && m_limit == m_slots;
-    m_normalAnswers = 0;
+    m_answers = 0;
     m_changedAt = now;
 }
 
@@ -53,7 +55,7 @@
 {
     m_limit = m_coldSlots;
     m_warm = false;
-    m_normalAnswers = 0;
+    m_answers = 0;
     m_samplesSinceReset = 0;
     m_changedAt = now;
 }
@@ -61,28 +63,27 @@
 void slot_limit::recordAnswer(microseconds serviceTime, time_point now)
 {
     addSample(serviceTime);
-    const auto sample = static_cast<double>(serviceTime.count());
-    const bool isNormal = m_normal == 0 || sample <= NormalFactor * m_normal;
     adaptNormal(serviceTime);
     if (hasJumped()) {
         reset(now);
         return;
     }
-    m_normalAnswers = isNormal ? m_normalAnswers + 1 : 0;
-    const bool mayRise = m_normalAnswers >= AnswersPerStep && now - m_changedAt >= StepInterval && !isHeldByStatus(now);
+    ++m_answers;
+    const bool hasEvidence = m_answers >= AnswersPerStep && newestMedian(AnswersPerStep) <= NormalFactor * m_normal;
+    const bool mayRise = hasEvidence && now - m_changedAt >= StepInterval && !isHeldByStatus(now);
     if (m_warm || !mayRise) {
         return;
     }
     m_limit = std::min(m_limit + 1, m_slots);
     m_warm = m_limit == m_slots;
-    m_normalAnswers = 0;
+    m_answers = 0;
     m_changedAt = now;
 }
 
 void slot_limit::recordTimeout(microseconds waited, time_point now)
 {
     addSample(waited);
-    m_normalAnswers = 0;
+    m_answers = 0;
     if (hasJumped()) {
         reset(now);
     }
@@ -90,10 +91,12 @@
 
 void slot_limit::recordStatus(bool cold, time_point now)
 {
-    if (cold && !m_statusCold && !m_warm) {
-        m_changedAt = now;
-    }
+    // Only the change counts: a status that stays cold although answers are normal is stale.
+    const bool becameCold = cold && !m_statusCold;
     m_statusCold = cold;
+    if (becameCold) {
+        reset(now);
+    }
 }
 
 std::uint32_t slot_limit::limit() const
@@ -143,10 +146,16 @@
     if (m_normal == 0 || m_samplesSinceReset < JumpSamples || m_recent.size() < JumpSamples) {
         return false;
     }
-    // The median of a few answers, so that one straggler doesn't count as a jump.
-    std::vector<std::int64_t> newest(m_recent.end() - JumpSamples, m_recent.end());
-    std::nth_element(newest.begin(), newest.begin() + JumpSamples / 2, newest.end());
-    return static_cast<double>(newest[JumpSamples / 2]) > JumpFactor * m_normal;
+    return newestMedian(JumpSamples) > JumpFactor * m_normal;
+}
+
+double slot_limit::newestMedian(std::size_t count) const
+{
+    BALSAM_ASSERT(count >= 1 && count <= m_recent.size());
+    std::vector<std::int64_t> newest(m_recent.end() - static_cast<std::ptrdiff_t>(count), m_recent.end());
+    const auto middle = newest.begin() + static_cast<std::ptrdiff_t>(count / 2);
+    std::nth_element(newest.begin(), middle, newest.end());
+    return static_cast<double>(*middle);
 }
 
 bool slot_limit::isHeldByStatus(time_point now) const
@@ -161,8 +170,11 @@
         m_normal = value;
         return;
     }
-    const double riseWeight = m_warm ? WarmRiseWeight : ColdRiseWeight;
-    m_normal += (value - m_normal) * (value < m_normal ? FallWeight : riseWeight);
+    if (value < m_normal) {
+        m_normal *= 1 - (m_warm ? WarmStep : ColdFall);
+    } else if (value > m_normal) {
+        m_normal *= 1 + (m_warm ? WarmStep : ColdRise);
+    }
 }
 
 } // namespace balsamhook
--- a/dispatch/slot_limit.h
+++ b/dispatch/slot_limit.h
@@ -32,7 +32,8 @@
     /// Counts a request that got no answer within its time.
     void recordTimeout(microseconds waited, time_point now);
 
-    /// Takes the target's own statement from its status. "Cold" delays the rise, but only for a bounded time, because it may be stale.
+    /// Takes the target's own statement from its status. A change to "cold" resets the limit and delays its rise, but only for a bounded
+    /// time, because the status may be stale.
     void recordStatus(bool cold, time_point now);
 
     std::uint32_t limit() const;
@@ -52,6 +53,9 @@
 private:
     void addSample(microseconds sample);
     bool hasJumped() const;
+
+    /// Median of the newest samples, so that one straggler alone neither drops nor holds the limit.
+    double newestMedian(std::size_t count) const;
     bool isHeldByStatus(time_point now) const;
     void adaptNormal(microseconds sample);
 
@@ -59,7 +63,7 @@
     std::uint32_t m_slots;
     std::uint32_t m_limit;
     bool m_warm = false;
-    std::uint32_t m_normalAnswers = 0; ///< In a row since the last change of the limit.
+    std::size_t m_answers = 0; ///< Without a timeout between them since the last change of the limit.
     time_point m_changedAt;
     bool m_statusCold = false;
     double m_normal = 0; ///< Microseconds
--- a/dispatch/target_connections.cpp
+++ b/dispatch/target_connections.cpp
@@ -22,7 +22,7 @@
 {
     while (true) {
         while (!m_idle.empty()) {
-            const http_connection::pointer connection = std::move(m_idle.back());
+            const http_connection::pointer connection = std::move(m_idle.back().connection);
             m_idle.pop_back();
             if (connection->isOpen()) {
                 co_return connection;
@@ -45,7 +45,7 @@
 http_connection::pointer target_connections::takeOldest()
 {
     while (!m_idle.empty()) {
-        const http_connection::pointer connection = std::move(m_idle.front());
+        const http_connection::pointer connection = std::move(m_idle.front().connection);
         m_idle.pop_front();
         if (connection->isOpen()) {
             return connection;
@@ -74,7 +74,7 @@
 void target_connections::giveBack(const http_connection::pointer &connection)
 {
     if (connection->isOpen() && m_count <= m_keep) {
-        m_idle.push_back(connection);
+        m_idle.push_back({connection, boot_clock::now()});
     } else {
         connection->close();
         --m_count;
@@ -82,6 +82,16 @@
     m_changed.cancel();
 }
 
+void target_connections::closeIdleSince(boot_clock::time_point time)
+{
+    while (!m_idle.empty() && m_idle.front().since < time) {
+        m_idle.front().connection->close();
+        m_idle.pop_front();
+        --m_count;
+    }
+    m_changed.cancel();
+}
+
 void target_connections::setCap(std::size_t cap)
 {
     BALSAM_ASSERT(cap >= 1);
@@ -109,7 +119,7 @@
 void target_connections::closeBeyond(std::size_t limit)
 {
     while (m_count > limit && !m_idle.empty()) {
-        m_idle.front()->close();
+        m_idle.front().connection->close();
         m_idle.pop_front();
         --m_count;
     }
--- a/dispatch/target_connections.h
+++ b/dispatch/target_connections.h
@@ -33,6 +33,9 @@
     /// Ends the use of a connection. It is kept for later use when it is open and closeAll() wasn't called since.
     void giveBack(const http_connection::pointer &connection);
 
+    /// Closes idle connections that have carried no answer since the given time.
+    void closeIdleSince(boot_clock::time_point time);
+
     /// Changes the cap. Idle connections beyond it are closed.
     void setCap(std::size_t cap);
 
@@ -44,6 +47,12 @@
     std::size_t idle() const;
 
 private:
+    struct idle_connection
+    {
+        http_connection::pointer connection;
+        boot_clock::time_point since;
+    };
+
     void closeBeyond(std::size_t limit);
 
     boost::asio::steady_timer m_changed; ///< Cancelled to wake up those who wait for a connection.
@@ -52,7 +61,7 @@
     std::size_t m_cap;
     std::size_t m_count = 0;
     std::size_t m_keep = 0; ///< Connections given back beyond this number are closed.
-    std::deque<http_connection::pointer> m_idle; ///< Used last at the back.
+    std::deque<idle_connection> m_idle; ///< Used last at the back.
 };
 
 } // namespace balsamhook
--- a/dispatch/target_scheduler.cpp
+++ b/dispatch/target_scheduler.cpp
@@ -184,6 +184,7 @@
 void target_scheduler::recordStatus(bool cold, time_point now)
 {
     m_limit.recordStatus(cold, now);
+    updateWarmth();
 }
 
 target_scheduler::actions target_scheduler::recordConnect(bool succeeded, time_point now)
--- a/dispatch/target_task.cpp
+++ b/dispatch/target_task.cpp
@@ -427,6 +427,10 @@
         blameLostConnection(attempt);
     }
     m_connections.giveBack(connection);
+    if (classified.end == attempt_end::TimedOut) {
+        // The others may have gone silent together with this one; a fresh connection shows whether the target answers.
+        m_connections.closeIdleSince(sentAt);
+    }
     if (own) {
         addSpan(request, *own, start, classified.result);
     }
