Check that the key of a command that was not run is free again

Two deliberate faults passed the tests before: settling a claim as absent although its write could still arrive, and opening connections beyond the cap.

--- a/dispatch/claim_test.cpp
+++ b/dispatch/claim_test.cpp
@@ -325,6 +325,10 @@
         RC_ASSERT(m_open.empty());
         RC_ASSERT(m_ledgers[0].size() == 0U);
         RC_ASSERT(m_ledgers[1].size() == 0U);
+        while (!m_late.empty()) {
+            applyLate(0);
+        }
+        checkStored();
     }
 
     std::size_t calls() const
@@ -405,12 +409,25 @@
         RC_ASSERT(!m_running.contains(ended.id));
         if (ended.ended == outcome::NotRun) {
             RC_ASSERT(!m_started.contains(ended.id));
+            m_notRun.insert("nonce" + std::to_string(ended.id));
         }
         if (ended.ended == outcome::Answered) {
             RC_ASSERT(ended.result == std::to_string(m_mayHaveRun.at(key)));
         }
     }
 
+    /// A key whose command was not run is free again, and no claim stays open.
+    void checkStored()
+    {
+        for (const auto &[object, stored] : m_objects) {
+            const claim_records records = parseClaims(stored.value).value();
+            for (const auto &[key, record] : records) {
+                RC_ASSERT(record.state != recorded_state::Claimed);
+                RC_ASSERT(!m_notRun.contains(record.nonce));
+            }
+        }
+    }
+
     void checkOneCall(std::size_t owner, const claim_action &action)
     {
         for (const call &pending : m_calls) {
@@ -434,6 +451,7 @@
     std::map<std::uint64_t, std::size_t> m_running; ///< Owner of each running id.
     std::map<std::string, std::uint64_t> m_mayHaveRun; ///< Id that a target may have started, for each key.
     std::set<std::uint64_t> m_started;
+    std::set<std::string> m_notRun; ///< Nonces
     std::uint64_t m_nextId = 0;
     std::size_t m_runs = 0;
 };
--- a/dispatch/dispatcher_test.cpp
+++ b/dispatch/dispatcher_test.cpp
@@ -537,6 +537,36 @@
     CHECK(target.peers.size() <= 4);
 }
 
+TEST_CASE("connections never exceed the cap; who finds none waits for one to be given back")
+{
+    asio::io_context context;
+    fake_target target(context, FirstTarget);
+    target_connections connections(context, FirstTarget, "", 2);
+    std::vector<http_connection::pointer> taken;
+    error_code refused = error_code::Invalid;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            for (int i = 0; i < 3; ++i) {
+                const auto acquired = co_await connections.acquire(boot_clock::now() + 5s);
+                CHECK(acquired.has_value());
+                taken.push_back(acquired.value());
+                CHECK(connections.count() <= 2);
+            }
+            const auto beyond = co_await connections.open(1s);
+            refused = beyond ? error_code::Invalid : beyond.error().code;
+        },
+        asio::detached);
+    context.run_for(100ms);
+    REQUIRE(taken.size() == 2);
+    connections.giveBack(taken[0]);
+    context.restart();
+    context.run_for(100ms);
+    REQUIRE(taken.size() == 3);
+    CHECK(taken[2] == taken[0]);
+    CHECK(refused == error_code::Overloaded);
+}
+
 TEST_CASE("a target that can't be reached is reported unusable and comes back when it can")
 {
     dispatcher_fixture fixture;
