--- a/programs/balsamctl.cpp
+++ b/programs/balsamctl.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
+#include <thread>
 
 using namespace balsamhook;
 using nlohmann::json;
@@ -29,6 +30,7 @@
 {
     endpoint controller{"127.0.0.1", 7080};
     std::chrono::milliseconds timeout{10000};
+    std::chrono::milliseconds wait{5000};
     bool yes = false;
     bool raw = false;
     std::string file;
@@ -204,10 +206,41 @@
         if (!isSuccess(response.value())) {
             return refused(response.value());
         }
-        std::cout << (m_values.raw ? response.value().body + "\n" : jsonForOperator(response.value().body));
+        const std::string progress = waitUntilInEffect(id, response.value().body);
+        std::cout << (m_values.raw ? progress + "\n" : jsonForOperator(progress));
         return ending::Done;
     }
 
+    /// Returns the newest progress of an applied plan, once all instances have confirmed it or the time is over.
+    std::string waitUntilInEffect(const std::string &id, std::string progress) const
+    {
+        constexpr std::chrono::milliseconds Poll{100};
+        const auto limit = boot_clock::now() + m_values.wait;
+        while (boot_clock::now() < limit) {
+            const json state = json::parse(progress, nullptr, false);
+            if (!state.is_object() || !state.contains("waiting_for") || state.at("waiting_for").empty()) {
+                break;
+            }
+            std::this_thread::sleep_for(Poll);
+            const result<http_response> newer = m_client.call("GET", "/v1/plans/" + id);
+            if (newer && isSuccess(newer.value())) {
+                progress = progressOf(json::parse(newer.value().body, nullptr, false)).dump();
+            }
+        }
+        return progress;
+    }
+
+    static json progressOf(const json &plan)
+    {
+        json progress;
+        for (const char *field : {"plan", "state", "revision", "confirmed_by", "waiting_for"}) {
+            if (plan.is_object() && plan.contains(field)) {
+                progress[field] = plan.at(field);
+            }
+        }
+        return progress;
+    }
+
     /// The HTTP addresses of all programs of all members.
     std::set<endpoint> programsOf(const std::string &members) const
     {
@@ -215,24 +248,22 @@
         const json body = json::parse(members, nullptr, false);
         const json list = body.is_object() ? body.value("members", json::array()) : body;
         for (const json &member : list) {
-            for (const char *field : {"front", "operator"}) {
-                addEndpoint(programs, member, field, 0);
-            }
-            addEndpoint(programs, member, "dispatch", m_values.dispatchHttpPort);
+            addEndpoint(programs, member, "front", 0);
+            addEndpoint(programs, member, "operator", 0);
+            // The dispatcher's HTTP port is not in the member list; all programs of an instance share its address.
+            addEndpoint(programs, member, "front", m_values.dispatchHttpPort);
         }
         return programs;
     }
 
     static void addEndpoint(std::set<endpoint> &programs, const json &member, const std::string &field, std::int64_t otherPort)
     {
-        for (const std::string &name : {field, field + "_endpoint"}) {
-            if (!member.is_object() || !member.contains(name) || !member.at(name).is_string()) {
-                continue;
-            }
-            const result<endpoint> parsed = parseEndpoint(member.at(name).get<std::string>());
-            if (parsed) {
-                programs.insert({parsed.value().address, otherPort == 0 ? parsed.value().port : static_cast<std::uint16_t>(otherPort)});
-            }
+        if (!member.is_object() || !member.contains(field) || !member.at(field).is_string()) {
+            return;
+        }
+        const result<endpoint> parsed = parseEndpoint(member.at(field).get<std::string>());
+        if (parsed) {
+            programs.insert({parsed.value().address, otherPort == 0 ? parsed.value().port : static_cast<std::uint16_t>(otherPort)});
         }
     }
 
@@ -380,6 +411,11 @@
     settings options("Operators' tool of balsamhook. Exit codes: 0 done, 1 refused, 2 usage, 3 controller unreachable.");
     options.addEndpoint("controller", values.controller, "operators' address of any controller [127.0.0.1:7080]");
     options.addDuration("timeout-ms", values.timeout, std::chrono::milliseconds(100), std::chrono::milliseconds(120000), "how long to wait for the controller");
+    options.addDuration("wait-ms",
+                        values.wait,
+                        std::chrono::milliseconds(0),
+                        std::chrono::milliseconds(120000),
+                        "after a confirmation, how long to wait until all instances have applied it");
     options.addFlag("yes", values.yes, "confirm plans without asking");
     options.addFlag("json", values.raw, "print the controller's answers as they are");
     CLI::App &app = options.application();
