--- a/configuration/root.cpp
+++ b/configuration/root.cpp
@@ -173,14 +173,21 @@
     return texts;
 }
 
+std::map<std::string, std::string, std::less<>> sectionHashes(const configuration_document &document)
+{
+    std::map<std::string, std::string, std::less<>> hashes;
+    for (const auto &[name, text] : sectionTexts(document)) {
+        hashes.emplace(name, contentHash(text));
+    }
+    return hashes;
+}
+
 configuration_root makeRoot(const configuration_document &document, std::uint64_t revision, std::string nonce, std::string plan)
 {
     BALSAM_ASSERT(!nonce.empty());
     configuration_root root;
     root.revision = revision;
-    for (const auto &[name, text] : sectionTexts(document)) {
-        root.sections[name] = contentHash(text);
-    }
+    root.sections = sectionHashes(document);
     root.nonce = std::move(nonce);
     root.plan = std::move(plan);
     return root;
