control: let a leaving front end serve as long as its address advice is valid

Cause: a leaving instance was removed from the list after about 2 s; its front end then got an expired acceptance time and refused callers that still held its address for 3 s.

--- a/control/control_core.cpp
+++ b/control/control_core.cpp
@@ -98,7 +98,9 @@
 
 boot_clock::time_point control_core::acceptUntil() const
 {
-    return isReady() ? freshAt + values.freshness : boot_clock::time_point();
+    // A leaving front end serves callers that hold address advice, also after the instance was removed from the list.
+    const bool mayServe = isReady() || (stopping && hasReadConfiguration);
+    return mayServe ? freshAt + values.freshness : boot_clock::time_point();
 }
 
 bool control_core::isReady() const
--- a/control/control_core.h
+++ b/control/control_core.h
@@ -21,6 +21,7 @@
     endpoint platform;
     std::chrono::milliseconds freshness{5000}; ///< Without confirmation of the configuration for this long the front end takes no new work.
     std::chrono::milliseconds stopLimit{15000}; ///< A planned stop ends after this time even when work is still in flight.
+    std::chrono::milliseconds stopServeTime{3500}; ///< A planned stop goes on for this long while the front end is connected; above the advice validity.
     std::chrono::milliseconds storeTimeout{1000};
 };
 
--- a/control/controller.cpp
+++ b/control/controller.cpp
@@ -44,12 +44,14 @@
 {
     const listed_member *self = m_core.node.list().find(m_core.values.instance.instance);
     const bool isMarked = self == nullptr || self->entry.leaving;
-    return isMarked && m_core.node.actionable().empty() && m_programs.areIdle();
+    const bool isServing = m_programs.hasFront() && boot_clock::now() < m_servesUntil;
+    return isMarked && !isServing && m_core.node.actionable().empty() && m_programs.areIdle();
 }
 
 asio::awaitable<void> controller::stopPlanned()
 {
     m_core.stopping = true;
+    m_servesUntil = boot_clock::now() + m_core.values.stopServeTime;
     m_core.node.startLeaving();
     logInfo("control", "leaving; waiting for the targets to be handed over");
     const auto limit = boot_clock::now() + m_core.values.stopLimit;
--- a/control/controller.h
+++ b/control/controller.h
@@ -27,6 +27,7 @@
     bool hasHandedOver() const;
 
     control_core m_core;
+    boot_clock::time_point m_servesUntil; ///< In a planned stop.
     configuration_task m_configuration;
     membership_task m_membership;
     local_programs m_programs;
--- a/control/local_programs.cpp
+++ b/control/local_programs.cpp
@@ -45,6 +45,12 @@
     return true;
 }
 
+bool local_programs::hasFront() const
+{
+    const auto front = m_core.programs.find(program_role::Front);
+    return front != m_core.programs.end() && front->second.isConnected;
+}
+
 asio::awaitable<void> local_programs::serve(frame_connection::pointer connection)
 {
     const auto first = co_await connection->receive();
--- a/control/local_programs.h
+++ b/control/local_programs.h
@@ -20,6 +20,9 @@
     /// True when no local program has work in flight or acts on a target.
     bool areIdle() const;
 
+    /// True while the local front end is connected.
+    bool hasFront() const;
+
 private:
     boost::asio::awaitable<void> serve(frame_connection::pointer connection);
     boost::asio::awaitable<void> serveProgram(frame_connection::pointer connection, hello identity);
--- a/programs/balsam_control.cpp
+++ b/programs/balsam_control.cpp
@@ -35,6 +35,11 @@
     options.addDuration(
         "freshness", values.freshness, std::chrono::milliseconds(1000), std::chrono::minutes(10), "time after which an unconfirmed configuration is stale");
     options.addDuration("stop-limit", values.stopLimit, std::chrono::milliseconds(0), std::chrono::minutes(10), "longest time of a planned stop");
+    options.addDuration("stop-serve-time",
+                        values.stopServeTime,
+                        std::chrono::milliseconds(0),
+                        std::chrono::minutes(10),
+                        "shortest planned stop while the front end is connected; above its address validity");
     options.addDuration("store-timeout", values.storeTimeout, std::chrono::milliseconds(10), std::chrono::minutes(1), "time limit of one store call");
     if (const std::optional<int> exitCode = options.parse(argumentCount, arguments)) {
         return *exitCode;
