Keep work that can't end in time off the targets

An entry now needs 1.5 times the mean service time, and refusals by the target no longer count as evidence. Four answers in a row at 2.5 times the normal time reset the limit.

--- a/dispatch/slot_limit.cpp
+++ b/dispatch/slot_limit.cpp
@@ -18,6 +18,10 @@
 constexpr double NormalFactor = 1.5;
 constexpr double JumpFactor = 1.8;
 constexpr std::size_t JumpSamples = 11;
+// A cold target under full load takes several times its normal time; a few such answers in a row are enough. At 3% stragglers, four in a
+// row come about once in a million answers.
+constexpr double CollapseFactor = 2.5;
+constexpr std::size_t CollapseSamples = 4;
 constexpr std::size_t RecentSamples = 64;
 // The normal service time follows the median of warm answers by steps of this share.
 constexpr double WarmStep = 0.01;
@@ -143,10 +147,15 @@
 
 bool slot_limit::hasJumped() const
 {
-    if (m_normal == 0 || m_samplesSinceReset < JumpSamples || m_recent.size() < JumpSamples) {
+    const std::size_t samples = std::min(m_samplesSinceReset, m_recent.size());
+    if (m_normal == 0 || samples < CollapseSamples) {
         return false;
     }
-    return newestMedian(JumpSamples) > JumpFactor * m_normal;
+    const auto newest = m_recent.end() - static_cast<std::ptrdiff_t>(CollapseSamples);
+    if (static_cast<double>(*std::min_element(newest, m_recent.end())) > CollapseFactor * m_normal) {
+        return true;
+    }
+    return samples >= JumpSamples && newestMedian(JumpSamples) > JumpFactor * m_normal;
 }
 
 double slot_limit::newestMedian(std::size_t count) const
--- a/dispatch/slot_limit.h
+++ b/dispatch/slot_limit.h
@@ -69,7 +69,7 @@
     double m_normal = 0; ///< Microseconds
     double m_mean = 0; ///< Microseconds
     std::deque<std::int64_t> m_recent; ///< Microseconds, oldest first.
-    std::uint32_t m_samplesSinceReset = 0;
+    std::size_t m_samplesSinceReset = 0;
 };
 
 } // namespace balsamhook
--- a/dispatch/target_scheduler.cpp
+++ b/dispatch/target_scheduler.cpp
@@ -11,6 +11,9 @@
 // One failed connect may be a full accept queue; two in a row without a success mean that the target is away.
 constexpr std::uint32_t UnreachableAfterConnects = 2;
 
+// Of the mean service time. Without a margin, half of the attempts that are sent at the last moment end too late.
+constexpr double RunMargin = 1.5;
+
 } // namespace
 
 target_scheduler::target_scheduler(std::uint32_t coldSlots, std::uint32_t slots, std::size_t queueLimit, time_point now)
@@ -80,7 +83,8 @@
     if (refused != refusal_reason::None) {
         return {refuse_attempt{attempt, refused}};
     }
-    if (deadline <= now || expectedWait() > deadline - now) {
+    const bool startsAtOnce = m_queue.empty() && m_sent.size() < m_limit.limit();
+    if (deadline <= now || (!startsAtOnce && expectedWait() + expectedRun() > deadline - now)) {
         return {refuse_attempt{attempt, refusal_reason::DeadlineTooShort}};
     }
     actions out = advance(now);
@@ -135,6 +139,7 @@
         break;
     case attempt_end::NotStarted:
     case attempt_end::NotSent:
+    case attempt_end::Failed:
         break;
     }
     updateWarmth();
@@ -267,7 +272,10 @@
     while (isUsable() && !m_queue.empty() && m_sent.size() < m_limit.limit()) {
         const queued_attempt next = m_queue.front();
         m_queue.pop_front();
-        if (isTooLate(next.deadline, now)) {
+        // Work that can't end in time only takes a slot from work that can. When there is no other work it is tried, because otherwise
+        // the expected time could never be corrected.
+        const bool isOnly = m_queue.empty() && m_sent.empty();
+        if (next.deadline <= now + (isOnly ? std::chrono::microseconds(0) : expectedRun())) {
             out.push_back(refuse_attempt{next.attempt, refusal_reason::DeadlineTooShort});
             continue;
         }
@@ -276,12 +284,9 @@
     }
 }
 
-bool target_scheduler::isTooLate(time_point deadline, time_point now) const
+std::chrono::microseconds target_scheduler::expectedRun() const
 {
-    // Work that can't end in time only takes a slot from work that can. An idle target is always tried, because otherwise the
-    // estimate could never be corrected.
-    const std::chrono::microseconds needed = m_sent.empty() ? std::chrono::microseconds(0) : m_limit.normal();
-    return deadline <= now + needed;
+    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(m_limit.mean().count()) * RunMargin));
 }
 
 std::chrono::microseconds target_scheduler::expectedWait() const
--- a/dispatch/target_scheduler.h
+++ b/dispatch/target_scheduler.h
@@ -46,6 +46,7 @@
     NotConnected, ///< No connection could be opened.
     ConnectionLost,
     TimedOut,
+    Failed, ///< An answer that says nothing about the target's speed.
 };
 
 /// Decides for one target which attempts are queued, sent or refused. Pure logic: time points in, actions out. Not thread-safe.
@@ -121,7 +122,9 @@
     void resetLimit(time_point now);
     void updateWarmth();
     void sendQueued(actions &out, time_point now);
-    bool isTooLate(time_point deadline, time_point now) const;
+
+    /// Time that an attempt takes at the target, with a margin.
+    std::chrono::microseconds expectedRun() const;
     std::chrono::microseconds expectedWait() const;
 
     target_machine m_machine;
--- a/dispatch/target_task.cpp
+++ b/dispatch/target_task.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds StatusTimeout{500};
 constexpr milliseconds CancelTimeout{500};
 constexpr std::size_t CancelQueueLimit = 256;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusGatewayTimeout = 504;
 // The target counts its deadline from when it gets the request. It ends a little before ours, so that a slot that this side counts as
 // free is free at the target as well.
 constexpr milliseconds DeadlineMargin{3};
@@ -78,11 +81,14 @@
 classified_end classifyRefusal(const http_response &response, const json &body)
 {
     const bool notStarted = body.is_object() && !fieldOr<bool>(body, "started", true);
+    if (!notStarted && response.status == StatusGatewayTimeout) {
+        return refused(attempt_end::TimedOut, outcome::Unknown, refusal_reason::Timeout);
+    }
     if (!notStarted) {
-        return refused(attempt_end::Answered, outcome::Unknown, refusal_reason::TargetFailed);
+        return refused(attempt_end::Failed, outcome::Unknown, refusal_reason::TargetFailed);
     }
     const auto text = fieldOr<std::string>(body, "error", {});
-    if (response.status == 409) {
+    if (response.status == StatusConflict) {
         return refused(attempt_end::NotStarted, outcome::NotRun, refusal_reason::SnapshotMissing);
     }
     if (text == "draining") {
@@ -94,12 +100,12 @@
 classified_end classify(attempt_kind kind, const http_response &response)
 {
     const json body = json::parse(response.body, nullptr, false);
-    if (response.status != 200) {
+    if (response.status != StatusOk) {
         return classifyRefusal(response, body);
     }
     const char *const payloadName = kind == attempt_kind::Search ? "hits" : "result";
     if (!body.is_object() || !body.contains(payloadName)) {
-        return refused(attempt_end::Answered, outcome::Unknown, refusal_reason::TargetFailed);
+        return refused(attempt_end::Failed, outcome::Unknown, refusal_reason::TargetFailed);
     }
     classified_end classified;
     classified.result.ended = outcome::Answered;
@@ -423,11 +429,14 @@
     const auto response = co_await connection->exchange(std::move(outgoing), timeout);
     classified_end classified = response ? classify(request.kind, response.value()) : classify(response.error(), connection->sentBytes());
     classified.result.serviceTime = std::chrono::duration_cast<microseconds>(boot_clock::now() - sentAt);
+    if (classified.result.ended == outcome::Unknown && m_attempts.at(attempt).cancelled) {
+        classified.result.reason = refusal_reason::Cancelled;
+    }
     if (classified.end == attempt_end::ConnectionLost) {
         blameLostConnection(attempt);
     }
     m_connections.giveBack(connection);
-    if (classified.end == attempt_end::TimedOut) {
+    if (!response && classified.end == attempt_end::TimedOut) {
         // The others may have gone silent together with this one; a fresh connection shows whether the target answers.
         m_connections.closeIdleSince(sentAt);
     }
@@ -522,7 +531,7 @@
     if (!answer) {
         co_return false;
     }
-    if (answer.value().status == 200) {
+    if (answer.value().status == StatusOk) {
         acceptStatus(answer.value().body);
     }
     co_return true;
