Limit how long claims wait for the platform

With the client's default of 1 s, a lost answer used up a command's deadline before the claim could be read back.

--- a/programs/balsam_dispatch.cpp
+++ b/programs/balsam_dispatch.cpp
@@ -26,6 +26,8 @@
     endpoint platform;
     std::int64_t claimWritesPerSecond = 20;
     std::int64_t claimedCommands = 4096;
+    // Short enough that a lost answer can be settled by a read within a command's deadline of about a second.
+    std::chrono::milliseconds claimTimeout{250};
     std::chrono::milliseconds quarantinePeriod{600000};
     std::chrono::milliseconds stopTimeout{15000};
 };
@@ -39,6 +41,11 @@
     options.addNumber("stored-spans", values.storedSpans, 1, 1000000, "finished spans kept in memory");
     options.addNumber("claim-writes-per-second", values.claimWritesPerSecond, 1, 1000, "writes of command claims to the platform a second");
     options.addNumber("claimed-commands", values.claimedCommands, 1, 1000000, "commands whose outcome isn't recorded yet");
+    options.addDuration("claim-timeout",
+                        values.claimTimeout,
+                        std::chrono::milliseconds(10),
+                        std::chrono::seconds(30),
+                        "how long a read or write of claims waits for the platform");
     options.addDuration("quarantine-period",
                         values.quarantinePeriod,
                         std::chrono::seconds(1),
@@ -112,6 +119,7 @@
         object_store_settings values;
         values.platform = m_settings.platform;
         values.bindAddress = m_settings.instance.listenAddress;
+        values.callTimeout = m_settings.claimTimeout;
         return values;
     }
 
