control: confirm plans through the plan store

Cause: with the store losing the answer of every third write, confirming a plan ended with 503. The controller had its own copy of the confirm logic, and its writes of the plan object and of sections were not settled by reading back. Ruled out: the root update itself (it was settled), and a longer time-out (the answer never comes). Conclusion: one implementation of the confirm decision.

--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -64,12 +64,6 @@
     return value;
 }
 
-/// The same for every attempt to confirm a plan, so that a repeated update can't make a second revision.
-std::string nonceOf(const plan &confirmed)
-{
-    return contentHash(confirmed.id + confirmed.digest);
-}
-
 result<std::string> digestOf(const std::string &body)
 {
     const json parsed = json::parse(body, nullptr, false);
@@ -128,205 +122,53 @@
 
 asio::awaitable<http_response> operator_api::makePlanFor(std::string intentJson)
 {
-    const auto wanted = parseIntent(intentJson);
-    if (!wanted) {
-        co_return failureResponse(wanted.error());
-    }
-    const auto current = co_await m_task.synchronise();
-    if (!current) {
-        co_return errorResponse(503, "plans need the store: " + describe(current.error()));
-    }
-    const auto made = makePlan(*m_core.configuration.document(), m_core.configuration.revision(), wanted.value(), intentJson, randomId());
+    const std::string id = randomId();
+    const auto made = co_await proposePlan(*m_core.store, std::move(intentJson), id);
     if (!made) {
         co_return failureResponse(made.error());
     }
-    const expected_version absent;
-    const auto written = co_await m_core.store->write("plans", made.value().id, absent, planText(made.value()));
-    if (!written) {
-        co_return failureResponse(written.error());
-    }
     m_core.numbers.add("plans_total");
     co_return jsonResponse(201, planJson(made.value()).dump());
 }
 
-asio::awaitable<result<operator_api::stored_plan>> operator_api::readPlan(std::string id)
-{
-    const auto read = co_await m_core.store->read("plans", id);
-    if (!read) {
-        co_return read.error();
-    }
-    auto parsed = parsePlan(read.value().value);
-    if (!parsed) {
-        co_return parsed.error();
-    }
-    co_return stored_plan{read.value().version, std::move(parsed.value())};
-}
-
 asio::awaitable<http_response> operator_api::confirm(std::string id, std::string body)
 {
     const auto digest = digestOf(body);
     if (!digest) {
         co_return errorResponse(400, digest.error().message, "digest");
     }
-    const auto stored = co_await readPlan(id);
-    if (!stored) {
-        co_return failureResponse(stored.error());
-    }
-    const auto current = co_await m_task.synchronise();
-    if (!current) {
-        co_return errorResponse(503, "plans need the store: " + describe(current.error()));
+    const auto proposed = co_await readPlan(*m_core.store, id);
+    if (!proposed) {
+        co_return failureResponse(proposed.error());
     }
-    const plan &proposed = stored.value().content;
-    switch (decideConfirm(proposed, digest.value(), m_core.configuration.revision())) {
-    case confirm_decision::WrongDigest:
+    if (proposed.value().digest != digest.value()) {
         co_return errorResponse(409, "the digest is not that of the plan", "digest");
-    case confirm_decision::Refused:
-        co_return errorResponse(409, "the plan was refused: " + proposed.refusal);
-    case confirm_decision::AlreadyApplied:
-        co_return appliedResponse(proposed);
-    case confirm_decision::Stale:
-        co_await recordState(stored.value(), plan_state::Refused, 0, "the base revision is stale");
-        co_return staleResponse(proposed);
-    case confirm_decision::Settle:
-        co_return co_await settlePlan(stored.value(), current.value());
-    case confirm_decision::Write:
-        co_return co_await apply(stored.value(), current.value());
-    }
-    co_return errorResponse(500, "unexpected decision");
-}
-
-asio::awaitable<result<void>> operator_api::writeSections(configuration_document document)
-{
-    for (const section_text &section : splitSections(document)) {
-        const expected_version absent;
-        const auto written = co_await m_core.store->write("sections", section.hash, absent, section.text);
-        // Sections are named by their content: one that exists already is the same, whoever wrote it.
-        if (written || written.error().code == error_code::Conflict) {
-            continue;
-        }
-        const auto readBack = co_await m_core.store->read("sections", section.hash);
-        if (!readBack) {
-            co_return written.error();
-        }
-    }
-    co_return success();
-}
-
-asio::awaitable<void> operator_api::recordState(stored_plan stored, plan_state state, std::uint64_t revision, std::string refusal)
-{
-    stored.content.state = state;
-    stored.content.revision = revision;
-    stored.content.refusal = std::move(refusal);
-    const expected_version expected{stored.version};
-    const auto written = co_await m_core.store->write("plans", stored.content.id, expected, planText(stored.content));
-    if (!written) {
-        // The root is what counts; a later confirmation settles the plan from it.
-        logWarning("control", "state of plan " + stored.content.id + " was not recorded: " + describe(written.error()));
-    }
-}
-
-asio::awaitable<http_response> operator_api::apply(stored_plan stored, std::optional<stored_object> rootObject)
-{
-    const plan &proposed = stored.content;
-    const auto wanted = parseIntent(proposed.intentJson);
-    if (!wanted) {
-        co_return failureResponse(wanted.error());
-    }
-    const auto document = applyIntent(*m_core.configuration.document(), wanted.value());
-    if (!document) {
-        co_return failureResponse(document.error());
-    }
-    const auto prepared = co_await writeSections(document.value());
-    if (!prepared) {
-        co_return failureResponse(prepared.error());
-    }
-    const configuration_root base = rootObject ? parseRoot(rootObject->value).value() : configuration_root();
-    if (base.revision != proposed.baseRevision) {
-        co_return staleResponse(proposed);
-    }
-    plan_machine machine(proposed.state);
-    settle_options options;
-    options.isRepeated = machine.isUnsettled();
-    if (!options.isRepeated) {
-        const bool isAllowed = machine.process(plan_event::Confirm);
-        BALSAM_ASSERT(isAllowed);
-        stored.content.state = plan_state::Confirming;
-        const expected_version expected{stored.version};
-        const auto marked = co_await m_core.store->write("plans", proposed.id, expected, planText(stored.content));
-        if (!marked) {
-            co_return failureResponse(marked.error());
-        }
-        stored.version = marked.value();
     }
-    const std::string nonce = nonceOf(proposed);
-    const configuration_root root
-        = rootObject ? makeNextRoot(base, document.value(), nonce, proposed.id) : makeRoot(document.value(), proposed.baseRevision + 1, nonce, proposed.id);
-    const origin_check check = [&](const stored_object &object) {
-        const auto now = parseRoot(object.value);
-        const settlement settled = now ? settle(&now.value(), proposed.baseRevision, nonce, proposed.id) : settlement::Unknown;
-        if (settled == settlement::Applied) {
-            return write_origin::Ours;
-        }
-        return settled == settlement::Superseded ? write_origin::Other : write_origin::Unclear;
-    };
-    const expected_version expected{rootObject ? rootObject->version : 0};
-    const auto written = co_await settleWrite(*m_core.store, "configuration", "root", expected, rootText(root), check, options);
-    if (!written && written.error().code == error_code::Conflict) {
-        co_await recordState(stored, plan_state::Refused, 0, "another plan changed the configuration first");
-        const auto newest = co_await m_task.synchronise();
-        co_return newest ? staleResponse(proposed) : failureResponse(newest.error());
-    }
-    if (!written) {
-        co_return errorResponse(503, "the outcome is not known yet, confirm again: " + describe(written.error()));
-    }
-    for (const section_text &section : splitSections(document.value())) {
-        m_core.configuration.addSection(section);
+    const std::string nonce = randomId();
+    const settle_options options;
+    const auto answer = co_await confirmPlan(*m_core.store, id, digest.value(), nonce, options);
+    if (!answer) {
+        co_return failureResponse(answer.error());
     }
-    m_core.numbers.add("plans_applied_total");
-    logInfo("control", "plan " + proposed.id + " made configuration revision " + std::to_string(root.revision));
     const auto newest = co_await m_task.synchronise();
     if (!newest) {
-        logWarning("control", "the new configuration could not be read back: " + describe(newest.error()));
+        logWarning("control", "the configuration could not be read back: " + describe(newest.error()));
     }
-    co_await recordState(stored, plan_state::Applied, root.revision, "");
-    stored.content.revision = root.revision;
-    stored.content.state = plan_state::Applied;
-    co_return appliedResponse(stored.content);
-}
-
-asio::awaitable<http_response> operator_api::settlePlan(stored_plan stored, std::optional<stored_object> rootObject)
-{
-    const plan &proposed = stored.content;
-    const auto parsed = rootObject ? parseRoot(rootObject->value) : result<configuration_root>(configuration_root());
-    if (!parsed) {
-        co_return failureResponse(parsed.error());
-    }
-    switch (settle(rootObject ? &parsed.value() : nullptr, proposed.baseRevision, nonceOf(proposed), proposed.id)) {
-    case settlement::Unwritten:
-        // The same nonce and condition: at most one of the updates takes effect.
-        co_return co_await apply(std::move(stored), std::move(rootObject));
-    case settlement::Applied:
-        co_await recordState(stored, plan_state::Applied, proposed.baseRevision + 1, "");
-        stored.content.revision = proposed.baseRevision + 1;
-        stored.content.state = plan_state::Applied;
-        co_return appliedResponse(stored.content);
-    case settlement::Superseded:
-        co_await recordState(stored, plan_state::Refused, 0, "another plan changed the configuration first");
-        co_return staleResponse(proposed);
-    case settlement::Unknown:
-        break;
+    const plan &confirmed = answer.value().confirmed;
+    if (confirmed.state != plan_state::Applied) {
+        co_return staleResponse(answer.value());
     }
-    co_return errorResponse(409, "too many revisions came after the plan to tell whether it was applied");
+    m_core.numbers.add("plans_applied_total");
+    logInfo("control", "plan " + confirmed.id + " made configuration revision " + std::to_string(confirmed.revision));
+    co_return appliedResponse(confirmed);
 }
 
-http_response operator_api::staleResponse(const plan &proposed) const
+http_response operator_api::staleResponse(const confirm_answer &refused) const
 {
-    json changes = json::array();
-    if (const document_pointer base = m_core.configuration.find(proposed.baseRevision)) {
-        changes = describeChanges(*base, *m_core.configuration.document());
-    }
-    const json value = {
-        {"error", "the base revision is stale"}, {"base_revision", proposed.baseRevision}, {"revision", m_core.configuration.revision()}, {"changes", changes}};
+    const json value = {{"error", "the base revision is stale"},
+                        {"base_revision", refused.confirmed.baseRevision},
+                        {"revision", m_core.configuration.revision()},
+                        {"changes", refused.changes}};
     return jsonResponse(409, value.dump());
 }
 
@@ -363,13 +205,13 @@
 
 asio::awaitable<http_response> operator_api::showPlan(std::string id)
 {
-    const auto stored = co_await readPlan(id);
+    const auto stored = co_await readPlan(*m_core.store, id);
     if (!stored) {
         co_return failureResponse(stored.error());
     }
-    json value = planJson(stored.value().content);
-    if (stored.value().content.state == plan_state::Applied) {
-        const json progress = json::parse(appliedResponse(stored.value().content).body);
+    json value = planJson(stored.value());
+    if (stored.value().state == plan_state::Applied) {
+        const json progress = json::parse(appliedResponse(stored.value()).body);
         value["confirmed_by"] = progress["confirmed_by"];
         value["waiting_for"] = progress["waiting_for"];
     }
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -15,23 +15,12 @@
     result<void> start();
 
 private:
-    struct stored_plan
-    {
-        std::uint64_t version = 0;
-        plan content;
-    };
-
     boost::asio::awaitable<http_response> handle(http_request request);
     boost::asio::awaitable<http_response> makePlanFor(std::string intentJson);
     boost::asio::awaitable<http_response> confirm(std::string id, std::string body);
     boost::asio::awaitable<http_response> listPlans();
     boost::asio::awaitable<http_response> showPlan(std::string id);
-    boost::asio::awaitable<result<stored_plan>> readPlan(std::string id);
-    boost::asio::awaitable<result<void>> writeSections(configuration_document document);
-    boost::asio::awaitable<http_response> apply(stored_plan stored, std::optional<stored_object> rootObject);
-    boost::asio::awaitable<http_response> settlePlan(stored_plan stored, std::optional<stored_object> rootObject);
-    boost::asio::awaitable<void> recordState(stored_plan stored, plan_state state, std::uint64_t revision, std::string refusal);
-    http_response staleResponse(const plan &proposed) const;
+    http_response staleResponse(const confirm_answer &refused) const;
     http_response appliedResponse(const plan &applied) const;
     http_response configurationResponse() const;
     http_response membersResponse() const;
