Send the last answers before the dispatcher exits

The program stopped its event loop as soon as no work was in flight, when answers could still wait in a send queue. It now waits 100 ms. A test guards that after a timeout no connection is reused that was idle meanwhile.

--- a/dispatch/dispatcher_test.cpp
+++ b/dispatch/dispatcher_test.cpp
@@ -38,6 +38,7 @@
     }
 
     std::vector<std::string> searches; ///< Texts in the order of arrival.
+    std::vector<std::string> searchPeers; ///< Connections of the searches in the order of arrival.
     std::vector<std::string> cancels; ///< Request ids
     std::vector<std::string> executed; ///< Keys of commands in the order of arrival.
     std::vector<std::string> traceparents;
@@ -68,6 +69,7 @@
         }
         const std::string text = body["text"];
         searches.push_back(text);
+        searchPeers.push_back(request.peer);
         traceparents.emplace_back(request.header("traceparent"));
         ++running;
         mostRunning = std::max(mostRunning, running);
@@ -405,6 +407,21 @@
     CHECK(fixture.ask(2, "a", "next", 500ms).ended == outcome::Answered);
 }
 
+TEST_CASE("after a timeout no connection is used that may have gone silent together with the one that did")
+{
+    dispatcher_fixture fixture;
+    fake_target target(fixture.context, FirstTarget);
+    fixture.apply({"a"});
+    fixture.waitForReports({"a"});
+    CHECK(fixture.runUntil([&] { return target.peers.size() == 2; }));
+    const std::set<std::string> opened = target.peers;
+    CHECK(fixture.ask(1, "a", "slow 1000", 100ms).reason == refusal_reason::Timeout);
+    CHECK(fixture.ask(2, "a", "next", 500ms).ended == outcome::Answered);
+    REQUIRE(target.searchPeers.size() == 2);
+    CHECK(opened.contains(target.searchPeers[0]));
+    CHECK_FALSE(opened.contains(target.searchPeers[1]));
+}
+
 TEST_CASE("shedding and a missing snapshot are not run, and the target stays at its cold bound")
 {
     dispatcher_fixture fixture;
--- a/programs/balsam_dispatch.cpp
+++ b/programs/balsam_dispatch.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::chrono::milliseconds StopCheckPeriod{20};
+// Lets the last answers leave the send queues.
+constexpr std::chrono::milliseconds FlushTime{100};
 
 struct program_settings
 {
@@ -152,6 +154,9 @@
         m_admin.stop();
         m_control.stop();
         m_dispatcher.stop();
+        boost::system::error_code ignored;
+        timer.expires_after(FlushTime);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         m_context.stop();
     }
 
