--- a/control/control_core.cpp
+++ b/control/control_core.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-control_core::control_core(asio::io_context &ioContext, control_settings settings)
+control_core::control_core(asio::io_context &ioContext, control_settings settings, std::unique_ptr<object_store> otherStore)
     : context(ioContext)
     , values(std::move(settings))
     , spans(SpanCapacity)
-    , store(makeHttpObjectStore({values.platform, values.instance.listenAddress, values.storeTimeout}, numbers))
+    , store(otherStore ? std::move(otherStore) : makeHttpObjectStore({values.platform, values.instance.listenAddress, values.storeTimeout}, numbers))
     , incarnation(randomId())
     , node(values.instance.memberEntry(), incarnation, membership_settings(), stableHash(incarnation))
 {
@@ -98,7 +98,9 @@
 
 boot_clock::time_point control_core::acceptUntil() const
 {
-    return isReady() ? freshAt + values.freshness : boot_clock::time_point();
+    // A leaving front end serves callers that hold address advice, also after the instance was removed from the list.
+    const bool mayServe = isReady() || (stopping && hasReadConfiguration);
+    return mayServe ? freshAt + values.freshness : boot_clock::time_point();
 }
 
 bool control_core::isReady() const
--- a/control/control_core.h
+++ b/control/control_core.h
@@ -21,6 +21,7 @@
     endpoint platform;
     std::chrono::milliseconds freshness{5000}; ///< Without confirmation of the configuration for this long the front end takes no new work.
     std::chrono::milliseconds stopLimit{15000}; ///< A planned stop ends after this time even when work is still in flight.
+    std::chrono::milliseconds stopServeTime{3500}; ///< A planned stop goes on for this long while the front end is connected; above the advice validity.
     std::chrono::milliseconds storeTimeout{1000};
 };
 
@@ -30,7 +31,8 @@
 /// State that the tasks of one controller share. All of them run on the thread of the io_context.
 struct control_core
 {
-    control_core(boost::asio::io_context &ioContext, control_settings settings);
+    /// Talks to the platform over HTTP unless another store is given.
+    control_core(boost::asio::io_context &ioContext, control_settings settings, std::unique_ptr<object_store> otherStore = nullptr);
 
     /// Adopts what the configuration state and the membership logic can give each other. Call it after either changed.
     void exchange();
