membership: bound the targets of one instance

Cause: with 40 targets on six controllers, the two instances of one data centre owned 1 and 13 targets; the hash is fair over 400 names (187 to 213). Change: an instance gets at most 1.25 times the average of its data centre; the separation of replicas takes precedence.

--- a/membership/assignment.cpp
+++ b/membership/assignment.cpp
@@ -1,6 +1,7 @@
 #include "membership/assignment.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace balsamhook
@@ -9,6 +10,9 @@
 namespace
 {
 
+/// Most targets of one instance over the average of its data centre. Without a bound one of two instances may get nearly all targets by chance.
+constexpr double LoadBound = 1.25;
+
 using instances_by_data_centre = std::map<std::string, std::vector<std::string>, std::less<>>;
 
 instances_by_data_centre groupByDataCentre(const std::vector<member_entry> &members)
@@ -56,6 +60,7 @@
 
     owner_map run()
     {
+        countTargets();
         for (const service_configuration &service : m_document.services) {
             for (const shard_configuration &shard : service.shards) {
                 assignShard(shard);
@@ -69,6 +74,23 @@
     }
 
 private:
+    /// Bounds the targets of each instance, by the number of targets that its data centre serves.
+    void countTargets()
+    {
+        std::map<const std::vector<std::string> *, std::size_t> served;
+        for (const target_configuration &target : m_document.targets) {
+            if (const std::vector<std::string> *candidates = candidatesFor(target.dataCentre)) {
+                ++served[candidates];
+            }
+        }
+        for (const auto &[candidates, targets] : served) {
+            const double even = static_cast<double>(targets) / static_cast<double>(candidates->size());
+            for (const std::string &instance : *candidates) {
+                m_limits[instance] = static_cast<std::size_t>(std::ceil(even * LoadBound));
+            }
+        }
+    }
+
     void assignShard(const shard_configuration &shard)
     {
         m_replicas.clear();
@@ -90,6 +112,7 @@
                 return;
             }
             known = m_owners.emplace(name, choose(name, *candidates)).first;
+            ++m_loads[known->second];
         }
         ++m_replicas[known->second];
     }
@@ -105,13 +128,20 @@
         return nullptr;
     }
 
-    /// The candidate with the fewest replicas of the shard, and among these the one with the highest hash.
+    bool isFull(const std::string &instance) const
+    {
+        const auto load = m_loads.find(instance);
+        return load != m_loads.end() && load->second >= m_limits.find(instance)->second;
+    }
+
+    /// The candidate with the fewest replicas of the shard; among these one below its bound, and among these the one with the highest hash.
     const std::string &choose(const std::string &target, const std::vector<std::string> &candidates) const
     {
         const auto isWorse = [&](const std::string &left, const std::string &right) {
-            const std::size_t leftReplicas = replicasOf(left);
-            const std::size_t rightReplicas = replicasOf(right);
-            return leftReplicas != rightReplicas ? leftReplicas > rightReplicas : score(target, left) < score(target, right);
+            if (replicasOf(left) != replicasOf(right)) {
+                return replicasOf(left) > replicasOf(right);
+            }
+            return isFull(left) != isFull(right) ? isFull(left) : score(target, left) < score(target, right);
         };
         return *std::max_element(candidates.begin(), candidates.end(), isWorse);
     }
@@ -131,6 +161,8 @@
     const configuration_document &m_document;
     instances_by_data_centre m_groups;
     owner_map m_owners;
+    std::map<std::string, std::size_t, std::less<>> m_limits; ///< Most targets of an instance.
+    std::map<std::string, std::size_t, std::less<>> m_loads; ///< Targets of an instance so far.
     std::map<std::string, std::size_t, std::less<>> m_replicas;
 };
 
