Share crashes of targets between owners through the front ends

Cause: each owner counted the crashes of its own targets only. A poisoned query to a service with three targets, sent 12 times by its caller, crashed all three: each owner saw one crash. Ruled out: gossip (a period of 500 ms; a caller sends again after 6 ms), and a claim in the store (a write for each query). Change: an owner tells every connected front end of a blamed crash before it answers, and everything it knows when one connects; front ends count targets and refuse the fingerprint after two. Benchmark of membership added, not yet run. Not covered: a query fans out to all shards at once, so its first attempts may crash one target of each shard; a crash is blamed only on a request that ran alone on its target.

--- /dev/null
+++ b/bench/membership_bench.cpp
@@ -0,0 +1,218 @@
+/// Measures the slopes of membership against the number of instances: the decision logic of all of them runs in this process with simulated
+/// time and a store in memory. Prints one JSON object; scripts/bench membership stores it under bench/results/.
+
+#include "membership/membership.h"
+
+#include <ctime>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+using namespace balsamhook;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto Step = 100ms;
+constexpr std::size_t DataCentres = 7;
+constexpr std::size_t UdpHeaderBytes = 28;
+
+std::chrono::nanoseconds processorTime()
+{
+    timespec now{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+member_entry entryOf(std::size_t number)
+{
+    member_entry entry;
+    entry.instance = "i" + std::to_string(number);
+    entry.dataCentre = "dc" + std::to_string(number % DataCentres);
+    entry.frontEndpoint = "10.10.100.100:8080";
+    entry.dispatchEndpoint = "10.10.100.100:7001";
+    entry.controlEndpoint = entry.instance + "-control";
+    entry.gossipEndpoint = entry.instance;
+    entry.operatorEndpoint = "10.10.100.100:7080";
+    return entry;
+}
+
+document_pointer documentOf(std::size_t targets)
+{
+    auto document = std::make_shared<configuration_document>();
+    for (std::size_t i = 0; i < DataCentres; ++i) {
+        document->dataCentres.push_back({"dc" + std::to_string(i), false});
+    }
+    service_configuration service;
+    service.name = "s";
+    for (std::size_t i = 0; i < targets; ++i) {
+        target_configuration target;
+        target.name = "t" + std::to_string(i);
+        target.dataCentre = "dc" + std::to_string(i % DataCentres);
+        if (i % 2 == 0) {
+            service.shards.push_back({std::to_string(i / 2), {}});
+        }
+        service.shards.back().targets.push_back(target.name);
+        document->targets.push_back(std::move(target));
+    }
+    document->services.push_back(std::move(service));
+    return document;
+}
+
+/// All instances with a store that answers at once and a network that delivers at the next step.
+class fleet
+{
+public:
+    explicit fleet(std::size_t size)
+        : m_document(documentOf(size * 15 / 2))
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            m_nodes.push_back(std::make_unique<membership_node>(entryOf(i), "n" + std::to_string(i), membership_settings(), i + 1));
+        }
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        for (auto passed = 0ms; passed < time; passed += Step) {
+            step();
+        }
+    }
+
+    void resetFigures()
+    {
+        datagrams = 0;
+        bytes = 0;
+        writes = 0;
+        reads = 0;
+    }
+
+    /// Instances that are in the newest list of the first one and entitled.
+    std::size_t countEntitled() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_nodes.begin(), m_nodes.end(), [&](const auto &node) { return node->isMember() && node->entitledUntil(m_now) > m_now; }));
+    }
+
+    std::size_t datagrams = 0;
+    std::size_t bytes = 0;
+    std::size_t writes = 0;
+    std::size_t reads = 0;
+
+private:
+    void step()
+    {
+        m_now += Step;
+        auto arriving = std::move(m_sent);
+        m_sent.clear();
+        for (const auto &[to, content] : arriving) {
+            const auto decoded = decodeMessage(content);
+            m_nodes[to]->receive(std::get<gossip>(decoded.value()), m_now);
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            membership_node &node = *m_nodes[i];
+            node.provideDocument(1, m_document, m_now);
+            node.setNewestRoot(1, "1");
+            offerNewerList(node);
+            perform(i, node.tick(m_now));
+            node.setApplied(1, node.list().version);
+            node.updateState(m_now);
+            perform(i, node.react(m_now));
+        }
+    }
+
+    void offerNewerList(membership_node &node)
+    {
+        const auto newest = node.newestHeard(m_now);
+        for (const auto &peer : m_nodes) {
+            if (newest.listVersion > node.list().version && peer->list().version >= newest.listVersion) {
+                node.offerList(peer->list(), m_now);
+                return;
+            }
+        }
+    }
+
+    void perform(std::size_t from, std::vector<membership_action> actions)
+    {
+        for (membership_action &action : actions) {
+            if (auto *sent = std::get_if<send_gossip>(&action)) {
+                std::string content = encodeMessage(sent->content);
+                ++datagrams;
+                bytes += content.size() + UdpHeaderBytes;
+                m_sent.emplace_back(std::stoul(sent->peerEndpoint.substr(1)), std::move(content));
+            } else if (const auto *write = std::get_if<write_object>(&action)) {
+                ++writes;
+                stored_object &object = m_objects[write->kind + "/" + write->name];
+                if (object.version == write->expected) {
+                    object = {object.version + 1, write->value};
+                }
+                answer(from, write->kind, write->name);
+            } else if (const auto *read = std::get_if<read_object>(&action)) {
+                ++reads;
+                answer(from, read->kind, read->name);
+            }
+        }
+    }
+
+    void answer(std::size_t from, const std::string &kind, const std::string &name)
+    {
+        const stored_object &object = m_objects[kind + "/" + name];
+        m_nodes[from]->objectRead(kind, name, object.version == 0 ? std::nullopt : std::optional(object), m_now);
+    }
+
+    document_pointer m_document;
+    std::vector<std::unique_ptr<membership_node>> m_nodes;
+    boot_clock::time_point m_now{1h};
+    std::vector<std::pair<std::size_t, std::string>> m_sent;
+    std::map<std::string, stored_object> m_objects;
+};
+
+nlohmann::json measureFleet(std::size_t size)
+{
+    constexpr auto Settle = 30s;
+    constexpr auto Measured = 10s;
+    fleet instances(size);
+    instances.run(Settle);
+    instances.resetFigures();
+    const auto before = processorTime();
+    instances.run(Measured);
+    const double seconds = std::chrono::duration<double>(Measured).count();
+    const double perInstance = seconds * static_cast<double>(size);
+    const double core = static_cast<double>((processorTime() - before).count()) / 1e9 / perInstance;
+    return {{"entitled", instances.countEntitled()},
+            {"datagrams_per_instance_second", static_cast<double>(instances.datagrams) / perInstance},
+            {"bytes_per_instance_second", static_cast<double>(instances.bytes) / perInstance},
+            {"store_writes_per_second", static_cast<double>(instances.writes) / seconds},
+            {"store_reads_per_second", static_cast<double>(instances.reads) / seconds},
+            {"core_percent_per_instance", 100.0 * core}};
+}
+
+nlohmann::json measureAssignment(std::size_t members, std::size_t targets)
+{
+    std::vector<member_entry> entries;
+    for (std::size_t i = 0; i < members; ++i) {
+        entries.push_back(entryOf(i));
+    }
+    const document_pointer document = documentOf(targets);
+    const auto before = processorTime();
+    const owner_map owners = assignTargets(entries, *document);
+    const auto taken = processorTime() - before;
+    entries.pop_back();
+    const owner_map fewer = assignTargets(entries, *document);
+    const auto moved = std::count_if(owners.begin(), owners.end(), [&fewer](const auto &entry) { return fewer.at(entry.first) != entry.second; });
+    return {{"processor_ms", static_cast<double>(taken.count()) / 1e6}, {"moved_when_one_leaves", moved}, {"targets", targets}};
+}
+
+} // namespace
+
+int main()
+{
+    nlohmann::json report;
+    for (const std::size_t size : {7, 20, 60, 120}) {
+        report["fleet"][std::to_string(size)] = measureFleet(size);
+    }
+    for (const auto &[members, targets] : {std::pair<std::size_t, std::size_t>(7, 108), {60, 450}, {400, 3000}}) {
+        report["assignment"][std::to_string(members)] = measureAssignment(members, targets);
+    }
+    std::cout << report.dump(2) << '\n';
+    return 0;
+}
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -7,7 +7,6 @@
 #include "dispatch/claim_object.h"
 #include "dispatch/claim_task.h"
 #include "dispatch/dispatcher.h"
-#include "dispatch/quarantine.h"
 #include "dispatch/slot_limit.h"
 #include "dispatch/target_connections.h"
 #include "dispatch/target_machine.h"
--- a/dispatch/dispatch_test.cpp
+++ b/dispatch/dispatch_test.cpp
@@ -310,34 +310,6 @@
     CHECK(scheduler.ranAlone(3));
 }
 
-TEST_CASE("a fingerprint is refused after crashes on two targets, not after two on one, and only for a time")
-{
-    quarantine records(1min, 16);
-    records.recordCrash(7, "a", Start);
-    records.recordCrash(7, "a", Start + 1s);
-    CHECK_FALSE(records.isRefused(7, Start + 1s));
-    records.recordCrash(7, "b", Start + 2s);
-    CHECK(records.isRefused(7, Start + 2s));
-    CHECK(records.notices(Start + 2s).size() == 1);
-    CHECK_FALSE(records.isRefused(7, Start + 2s + 1min));
-    quarantine other(1min, 16);
-    other.merge({7, 30000}, Start);
-    CHECK(other.isRefused(7, Start + 29s));
-    CHECK_FALSE(other.isRefused(7, Start + 31s));
-}
-
-TEST_CASE("the quarantine forgets the oldest fingerprint beyond its capacity")
-{
-    quarantine records(1min, 2);
-    for (std::uint64_t fingerprint = 1; fingerprint <= 3; ++fingerprint) {
-        records.recordCrash(fingerprint, "a", Start + std::chrono::seconds(fingerprint));
-    }
-    records.recordCrash(1, "b", Start + 4s);
-    CHECK_FALSE(records.isRefused(1, Start + 4s));
-    records.recordCrash(3, "b", Start + 4s);
-    CHECK(records.isRefused(3, Start + 4s));
-}
-
 TEST_CASE("slots stay within the limit and each attempt ends exactly once, under any order of events")
 {
     CHECK(rc::check([] {
--- a/dispatch/dispatcher.cpp
+++ b/dispatch/dispatcher.cpp
@@ -94,6 +94,9 @@
                     numbers,
                     spans,
                     m_quarantine,
+                    [this](const target_crash &crash) {
+                        tellFronts(crash_notice{{crash}, {}});
+                    },
                     m_control.isEntitled,
                     m_control.statusChanged,
                     m_settings.bindAddress,
@@ -257,9 +260,13 @@
     if (changed.reports.empty()) {
         return;
     }
-    const message update(std::move(changed));
+    tellFronts(std::move(changed));
+}
+
+void dispatcher::tellFronts(const message &news)
+{
     for (const session_pointer &front : m_sessions) {
-        reply(front, update);
+        reply(front, news);
     }
 }
 
@@ -290,6 +297,7 @@
     m_sessions.insert(front);
     m_numbers.set("dispatch_front_connections", static_cast<std::int64_t>(m_sessions.size()));
     reply(front, ownedReports());
+    reply(front, m_quarantine.everything(boot_clock::now()));
     while (connection->isOpen()) {
         const auto received = co_await connection->receive();
         if (!received) {
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -3,9 +3,9 @@
 #include "base/base.h"
 #include "configuration/document.h"
 #include "dispatch/claim_task.h"
-#include "dispatch/quarantine.h"
 #include "dispatch/target_task.h"
 #include "http/http.h"
+#include "quarantine/quarantine.h"
 #include "wire/wire.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -83,6 +83,7 @@
     boost::asio::awaitable<void> advancePeriodically();
     boost::asio::awaitable<void> reportPeriodically();
     void sendChangedReports();
+    void tellFronts(const message &news);
     target_reports ownedReports() const;
 
     void accept(const session_pointer &front, const message &received);
--- a/dispatch/target_task.cpp
+++ b/dispatch/target_task.cpp
@@ -310,7 +310,9 @@
     if (!m_scheduler.ranAlone(attempt)) {
         return;
     }
-    m_environment.crashes.recordCrash(m_attempts.at(attempt).request.fingerprint, m_target.name, boot_clock::now());
+    const target_crash crash{m_attempts.at(attempt).request.fingerprint, m_target.name};
+    m_environment.crashes.recordCrash(crash.fingerprint, crash.target, boot_clock::now());
+    m_environment.crashed(crash);
 }
 
 void target_task::addSpan(const attempt_request &request, const trace_context &own, std::chrono::system_clock::time_point start, const attempt_result &ended)
--- a/dispatch/target_task.h
+++ b/dispatch/target_task.h
@@ -2,9 +2,9 @@
 
 #include "base/base.h"
 #include "configuration/document.h"
-#include "dispatch/quarantine.h"
 #include "dispatch/target_connections.h"
 #include "dispatch/target_scheduler.h"
+#include "quarantine/quarantine.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +26,7 @@
     counters &numbers;
     span_store &spans;
     quarantine &crashes;
+    std::function<void(const target_crash &)> crashed; ///< A crash was blamed on a request; told to the front ends before its answer.
     std::function<bool()> isEntitled; ///< Asked directly before each send.
     std::function<void()> released; ///< A target's last connection was closed after its ownership had ended.
     std::string bindAddress;
--- a/dispatch/quarantine.cpp
+++ b/quarantine/quarantine.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/quarantine.h"
+#include "quarantine/quarantine.h"
 
 #include <algorithm>
 
@@ -55,6 +55,28 @@
     return found != m_suspects.end() && now < found->second.refusedUntil;
 }
 
+void quarantine::merge(const crash_notice &notice, time_point now)
+{
+    for (const target_crash &crash : notice.crashes) {
+        recordCrash(crash.fingerprint, crash.target, now);
+    }
+    for (const quarantine_notice &refused : notice.refused) {
+        merge(refused, now);
+    }
+}
+
+crash_notice quarantine::everything(time_point now) const
+{
+    crash_notice all{{}, notices(now)};
+    for (const auto &[fingerprint, entry] : m_suspects) {
+        const bool isRecent = !entry.target.empty() && now - entry.crashedAt <= m_period;
+        if (isRecent) {
+            all.crashes.push_back({fingerprint, entry.target});
+        }
+    }
+    return all;
+}
+
 std::vector<quarantine_notice> quarantine::notices(time_point now) const
 {
     std::vector<quarantine_notice> current;
--- a/dispatch/quarantine.h
+++ b/quarantine/quarantine.h
@@ -1,5 +1,7 @@
 #pragma once
 
+/// Public header of the quarantine library: requests that crash targets. Owners blame crashes, front ends refuse what two targets crashed on.
+
 #include "base/base.h"
 #include "wire/protocol.h"
 
@@ -33,6 +35,12 @@
     /// Takes over what another owner decided.
     void merge(const quarantine_notice &notice, time_point now);
 
+    /// Takes over what an owner saw and decided.
+    void merge(const crash_notice &notice, time_point now);
+
+    /// All recent crashes and refusals, for a front end that connects.
+    crash_notice everything(time_point now) const;
+
     bool isRefused(std::uint64_t fingerprint, time_point now) const;
 
     /// Fingerprints that are refused now, for other owners.
@@ -41,7 +49,7 @@
 private:
     struct suspect
     {
-        std::string target; ///< Of the first crash.
+        std::string target; ///< Of the first crash; empty when only the refusal is known.
         time_point crashedAt;
         time_point refusedUntil{};
     };
--- /dev/null
+++ b/quarantine/quarantine_test.cpp
@@ -0,0 +1,71 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "quarantine/quarantine.h"
+
+using namespace balsamhook;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const boot_clock::time_point Start{1h};
+
+} // namespace
+
+TEST_CASE("a fingerprint is refused after crashes on two targets, not after two on one, and only for a time")
+{
+    quarantine records(1min, 16);
+    records.recordCrash(7, "a", Start);
+    records.recordCrash(7, "a", Start + 1s);
+    CHECK_FALSE(records.isRefused(7, Start + 1s));
+    records.recordCrash(7, "b", Start + 2s);
+    CHECK(records.isRefused(7, Start + 2s));
+    CHECK(records.notices(Start + 2s).size() == 1);
+    CHECK_FALSE(records.isRefused(7, Start + 2s + 1min));
+    quarantine other(1min, 16);
+    other.merge({7, 30000}, Start);
+    CHECK(other.isRefused(7, Start + 29s));
+    CHECK_FALSE(other.isRefused(7, Start + 31s));
+}
+
+TEST_CASE("the quarantine forgets the oldest fingerprint beyond its capacity")
+{
+    quarantine records(1min, 2);
+    for (std::uint64_t fingerprint = 1; fingerprint <= 3; ++fingerprint) {
+        records.recordCrash(fingerprint, "a", Start + std::chrono::seconds(fingerprint));
+    }
+    records.recordCrash(1, "b", Start + 4s);
+    CHECK_FALSE(records.isRefused(1, Start + 4s));
+    records.recordCrash(3, "b", Start + 4s);
+    CHECK(records.isRefused(3, Start + 4s));
+}
+
+TEST_CASE("a front end that hears of crashes on two targets from two owners refuses the fingerprint")
+{
+    quarantine first(1min, 16);
+    quarantine second(1min, 16);
+    quarantine front(1min, 16);
+    first.recordCrash(7, "a", Start);
+    second.recordCrash(7, "b", Start);
+    front.merge(first.everything(Start), Start);
+    front.merge(first.everything(Start), Start);
+    // The same crash told twice, as after a reconnect, is one crash.
+    CHECK_FALSE(front.isRefused(7, Start));
+    front.merge(second.everything(Start), Start);
+    CHECK(front.isRefused(7, Start));
+}
+
+TEST_CASE("a front end that connects late learns of refusals and of recent crashes only")
+{
+    quarantine owner(1min, 16);
+    owner.recordCrash(7, "a", Start);
+    owner.recordCrash(7, "b", Start);
+    owner.recordCrash(8, "a", Start);
+    quarantine front(1min, 16);
+    front.merge(owner.everything(Start + 30s), Start + 30s);
+    CHECK(front.isRefused(7, Start + 30s));
+    CHECK_FALSE(front.isRefused(8, Start + 30s));
+    CHECK(owner.everything(Start + 2min).crashes.empty());
+    CHECK(owner.everything(Start + 2min).refused.empty());
+}
--- a/query/front_service.cpp
+++ b/query/front_service.cpp
@@ -152,6 +152,8 @@
         perform(m_engine.receive(instance, *command, now));
     } else if (const auto *reports = std::get_if<target_reports>(&content)) {
         m_engine.receive(instance, *reports);
+    } else if (const auto *crashes = std::get_if<crash_notice>(&content)) {
+        m_engine.receive(*crashes, now);
     } else {
         m_numbers.add("unexpected_messages_total{type=\"" + std::string(messageName(content)) + "\"}");
     }
--- a/query/query_engine.cpp
+++ b/query/query_engine.cpp
@@ -37,6 +37,7 @@
     : m_settings(std::move(settings))
     , m_numbers(numbers)
     , m_admission(m_settings.inFlightLimit)
+    , m_quarantine(m_settings.quarantinePeriod, m_settings.quarantineCapacity)
     , m_environment{{}, m_settings.dataCentre, std::mt19937_64(m_settings.randomSeed), m_settings.firstAttemptId, {}, false, numbers}
 {
 }
@@ -80,7 +81,9 @@
     query_actions actions;
     const double lowest = wanted.minimumCoverage.value_or(service->minimumCoverage);
     const auto remaining = wanted.deadline.value_or(service->deadline);
-    const std::string_view refusal = m_admission.refusal(inFlight(), *service, m_environment.targets, lowest, remaining);
+    const bool crashesTargets = m_quarantine.isRefused(queryFingerprint(wanted.service, wanted.text), now);
+    const std::string_view refusal
+        = crashesTargets ? reasonName(refusal_reason::Quarantined) : m_admission.refusal(inFlight(), *service, m_environment.targets, lowest, remaining);
     if (!refusal.empty()) {
         m_numbers.add("queries_refused_total{reason=\"" + std::string(refusal) + "\"}");
         actions.emplace_back(finish_query{request, refusedQuery(std::move(queryId), *service, refusal)});
@@ -132,6 +135,10 @@
         actions.emplace_back(finish_command{request, {outcome::NotRun, "overloaded", ""}});
         return actions;
     }
+    if (m_quarantine.isRefused(commandFingerprint(wanted.service, wanted.key, wanted.payload), now)) {
+        actions.emplace_back(finish_command{request, {outcome::NotRun, std::string(reasonName(refusal_reason::Quarantined)), ""}});
+        return actions;
+    }
     const auto route = routeCommand(*service, m_environment.targets, wanted.key);
     if (!route) {
         actions.emplace_back(finish_command{request, {outcome::NotRun, "no_replica", ""}});
@@ -218,6 +225,12 @@
     }
 }
 
+void query_engine::receive(const crash_notice &notice, boot_clock::time_point now)
+{
+    m_numbers.add("crash_notices_total");
+    m_quarantine.merge(notice, now);
+}
+
 query_actions query_engine::queriesLost(const std::string &instance, boot_clock::time_point now)
 {
     query_actions actions;
--- a/query/query_engine.h
+++ b/query/query_engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quarantine/quarantine.h"
 #include "query/admission.h"
 #include "query/command_route.h"
 #include "query/running_query.h"
@@ -19,6 +20,8 @@
     double budgetBurst = 20; ///< Extra attempts of a service that need not have been earned.
     std::uint64_t randomSeed = 1;
     std::uint64_t firstAttemptId = 1;
+    std::chrono::milliseconds quarantinePeriod{600000}; ///< How long a request that crashed two targets is refused.
+    std::size_t quarantineCapacity = 1024; ///< Fingerprints
 };
 
 /// The decisions of a front end: runs all queries and commands. It takes events with the time and returns actions; it has no sockets and no clock.
@@ -47,6 +50,7 @@
     query_actions receive(const std::string &instance, const sub_answer &ended, boot_clock::time_point now);
     query_actions receive(const std::string &instance, const command_answer &ended, boot_clock::time_point now);
     void receive(const std::string &instance, const target_reports &reports);
+    void receive(const crash_notice &notice, boot_clock::time_point now);
 
     /// The connection to an instance broke; what was sent over it may have run.
     query_actions connectionLost(const std::string &instance, boot_clock::time_point now);
@@ -94,6 +98,7 @@
     engine_settings m_settings;
     counters &m_numbers;
     admission m_admission;
+    quarantine m_quarantine;
     service_layouts m_layouts;
     std::map<std::string, service_memory, std::less<>> m_memories;
     query_environment m_environment;
--- a/query/query_test.cpp
+++ b/query/query_test.cpp
@@ -412,6 +412,23 @@
     CHECK(fixture.resultOf(1).ended == outcome::Unknown);
 }
 
+TEST_CASE("a request that crashed targets of two owners is refused at each front end that heard of it")
+{
+    engine_fixture fixture(makeLayout(1, 3));
+    fixture.reportAll({Old});
+    const query_request poisoned = makeRequest();
+    const std::uint64_t fingerprint = queryFingerprint(poisoned.service, poisoned.text);
+    fixture.engine.receive(crash_notice{{{fingerprint, targetName(0, 0)}}, {}}, at(milliseconds(0)));
+    fixture.engine.receive(crash_notice{{{fingerprint, targetName(0, 1)}}, {}}, at(milliseconds(1)));
+    fixture.start(1, poisoned, milliseconds(2));
+    CHECK(fixture.attempts.empty());
+    CHECK(fixture.resultOf(1).ended == outcome::NotRun);
+    query_request other = makeRequest();
+    other.text += " other";
+    fixture.start(2, other, milliseconds(2));
+    CHECK(fixture.attempts.size() == 1);
+}
+
 TEST_CASE("a quarantined request is not retried")
 {
     engine_fixture fixture(makeLayout(1, 2));
--- a/wire/message_codec.cpp
+++ b/wire/message_codec.cpp
@@ -76,6 +76,8 @@
     BALSAM_MESSAGE(sections, root, texts)
     BALSAM_MESSAGE(rumour, instance, incarnation, state, sequence)
     BALSAM_MESSAGE(quarantine_notice, fingerprint, remainingMilliseconds)
+    BALSAM_MESSAGE(target_crash, fingerprint, target)
+    BALSAM_MESSAGE(crash_notice, crashes, refused)
     BALSAM_MESSAGE(gossip, sender, incarnation, sequence, appliedRevision, appliedMemberListVersion, acknowledgedSequence, leaseSequence, rumours, quarantined)
 
 #undef BALSAM_MESSAGE
@@ -225,7 +227,8 @@
                                                  "program_status",
                                                  "fetch_sections",
                                                  "sections",
-                                                 "gossip"};
+                                                 "gossip",
+                                                 "crash_notice"};
     static_assert(std::size(Names) == std::variant_size_v<message>);
     return Names[content.index()];
 }
--- a/wire/protocol.h
+++ b/wire/protocol.h
@@ -29,6 +29,7 @@
     FetchSections = 11,
     Sections = 12,
     Gossip = 13,
+    CrashNotice = 14,
 };
 
 enum class program_role : std::uint8_t {
@@ -247,6 +248,20 @@
     std::int64_t remainingMilliseconds = 0;
 };
 
+/// A target that crashed on a request that ran there alone.
+struct target_crash
+{
+    std::uint64_t fingerprint = 0;
+    std::string target;
+};
+
+/// What an owner knows about requests that crash targets; sent to each front end when it connects and after each crash.
+struct crash_notice
+{
+    std::vector<target_crash> crashes;
+    std::vector<quarantine_notice> refused;
+};
+
 /// One UDP datagram between controllers.
 struct gossip
 {
@@ -273,6 +288,7 @@
                              program_status,
                              fetch_sections,
                              sections,
-                             gossip>;
+                             gossip,
+                             crash_notice>;
 
 } // namespace balsamhook
