http: notice that the peer closed an idle connection

Ruled out: a reader task on each idle connection (one more coroutine for each of 25 to 100 connections a target), and polling. Change: isOpen() peeks at the socket; readable bytes or an error mean closed. Measured: a test closes an idle connection and waits for isOpen() to tell it; it failed before, passes now. A close that is still on its way can't be seen.

--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace balsamhook
 {
@@ -77,6 +79,14 @@
     }
 
     beast::tcp_stream stream;
+    /// Between exchanges nothing may arrive, so readable bytes mean an end of the stream, a reset, or a peer that broke the protocol.
+    bool isClosedByPeer()
+    {
+        char byte = 0;
+        const ssize_t received = recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     beast::flat_buffer buffer;
     std::string peer;
     bool sentBytes = false;
@@ -156,7 +166,7 @@
 
 bool http_connection::isOpen() const
 {
-    return m_state->open && m_state->stream.socket().is_open();
+    return m_state->open && m_state->stream.socket().is_open() && !m_state->isClosedByPeer();
 }
 
 void http_connection::close()
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -31,7 +31,8 @@
     /// True when the last exchange handed at least one byte to the socket.
     bool sentBytes() const;
 
-    /// True when the connection can carry another request, as far as this side knows.
+    /// True when the connection can carry another request, as far as this side knows; notices an end or a reset that has arrived.
+    /// Precondition: no exchange is under way.
     bool isOpen() const;
 
     /// Closes the connection. Idempotent.
--- a/http/http_test.cpp
+++ b/http/http_test.cpp
@@ -147,6 +147,27 @@
     }());
 }
 
+TEST_CASE("an idle connection that the peer closed is not open")
+{
+    // A command sent on such a connection would end as unknown although nobody received it.
+    echo_fixture fixture;
+    fixture.run([](echo_fixture &fixture) -> asio::awaitable<void> {
+        auto connection = co_await http_connection::open(Local, "", std::chrono::seconds(1));
+        http_request request;
+        request.path = "/echo";
+        const auto response = co_await connection.value()->exchange(request, std::chrono::seconds(1));
+        CHECK(response.has_value());
+        CHECK(connection.value()->isOpen());
+        fixture.server.stop();
+        asio::steady_timer pause(fixture.context);
+        for (int waited = 0; waited < 100 && connection.value()->isOpen(); ++waited) {
+            pause.expires_after(std::chrono::milliseconds(10));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        CHECK_FALSE(connection.value()->isOpen());
+    }(fixture));
+}
+
 TEST_CASE("stop() finishes the request under way")
 {
     echo_fixture fixture;
