Serve until callers are quiet during a planned stop

Cause: the front end closed its callers' connections as soon as the address advice had run out. Change: after the validity the program goes on until no query or command came for 500 ms, at most for 5 s more. Conclusion: sufficient until the HTTP server can announce the close with "Connection: close" on its last responses.

--- a/programs/balsam_front.cpp
+++ b/programs/balsam_front.cpp
@@ -100,6 +100,10 @@
         if (auto administrative = adminResponse(request, m_numbers, m_spans, m_service.isReady())) {
             co_return std::move(*administrative);
         }
+        // Callers that only ask for addresses may do so at any of them, for ever.
+        if (request.path != "/v1/addresses") {
+            m_lastRequest = boot_clock::now();
+        }
         co_return co_await m_service.handle(std::move(request));
     }
 
@@ -107,10 +111,18 @@
     asio::awaitable<void> stopPlanned()
     {
         constexpr std::chrono::milliseconds Poll{20};
+        // Closing a kept connection while its caller sends the next request breaks that request; it happened to 1 command of 88 in a trial.
+        // So the program goes on until no request came for a while, at most for the second time.
+        constexpr std::chrono::milliseconds Quiet{500};
+        constexpr std::chrono::seconds LongestWaitForQuiet{5};
         constexpr std::chrono::milliseconds LastWrites{200}; // The server's count doesn't include responses that are being written.
         logInfo("front", "stopping");
         m_service.leaveAddressAdvice();
         co_await pause(m_settings.addressValidity);
+        const boot_clock::time_point latest = boot_clock::now() + LongestWaitForQuiet;
+        while (boot_clock::now() < std::min(latest, m_lastRequest + Quiet)) {
+            co_await pause(Poll);
+        }
         m_server.stop();
         while (m_server.inFlight() > 0) {
             co_await pause(Poll);
@@ -136,6 +148,7 @@
     front_service m_service;
     control_client m_control;
     http_server m_server;
+    boot_clock::time_point m_lastRequest; ///< When the last request of a caller came.
 };
 
 } // namespace
