control: count the configuration's freshness from acknowledged heartbeats

Cause: a controller that was stopped for 8 s reported a fresh configuration 0.3 s after it resumed, because it took the datagrams that had waited in its socket as recent. Change: peers confirm freshness back to the time of the newest own heartbeat that a majority acknowledged.

--- a/control/control_core.cpp
+++ b/control/control_core.cpp
@@ -13,8 +13,6 @@
 
 constexpr std::size_t SpanCapacity = 1000;
 constexpr std::chrono::milliseconds PeerTimeout{1000};
-/// A peer heard within this time vouches for the newest revision that it applied.
-constexpr std::chrono::milliseconds HeardRecently{1600};
 
 } // namespace
 
@@ -89,10 +87,9 @@
 void control_core::confirmFreshness()
 {
     const auto now = boot_clock::now();
-    const std::size_t members = node.list().members.size();
-    const bool hasMajority = members > 1 && node.isMember() && node.heardWithin(HeardRecently, now) > members / 2;
-    if (hasMajority && hasReadConfiguration && node.newestHeard(now).revision <= configuration.revision()) {
-        freshAt = now;
+    const bool isNewest = hasReadConfiguration && node.newestHeard(now).revision <= configuration.revision();
+    if (isNewest && node.isMember()) {
+        freshAt = std::max(freshAt, node.majorityAcknowledged(now));
     }
 }
 
--- a/control/control_test.cpp
+++ b/control/control_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 using namespace balsamhook;
 using namespace std::chrono_literals;
@@ -409,6 +410,20 @@
     fixture.context.run_for(50ms);
 }
 
+TEST_CASE("the configuration stays fresh by a majority while the store is down, and not without one")
+{
+    control_fixture fixture(3);
+    REQUIRE(fixture.runUntil([&] { return fixture.areReady(); }));
+    fixture.shared->isDown = true;
+    fixture.context.run_for(6000ms);
+    CHECK(fixture.controllers[0]->core().acceptUntil() > boot_clock::now());
+    // A pause of the whole process: datagrams that waited in the sockets are old and confirm nothing.
+    std::this_thread::sleep_for(5500ms);
+    fixture.context.poll();
+    CHECK(fixture.controllers[0]->core().acceptUntil() < boot_clock::now());
+    CHECK(fixture.runUntil([&] { return fixture.controllers[0]->core().acceptUntil() > boot_clock::now(); }));
+}
+
 TEST_CASE("a planned stop hands the targets over and ends")
 {
     control_fixture fixture(2);
--- a/membership/membership_node.cpp
+++ b/membership/membership_node.cpp
@@ -181,18 +181,7 @@
     return newest;
 }
 
-std::size_t membership_node::heardWithin(std::chrono::milliseconds time, boot_clock::time_point now) const
-{
-    std::size_t heard = 0;
-    for (const listed_member &member : m_list.members) {
-        const peer_state *peer = listedPeer(member);
-        const bool isSelf = member.entry.instance == m_self.instance;
-        heard += isSelf || (peer != nullptr && now - peer->heardAt <= time) ? 1 : 0;
-    }
-    return heard;
-}
-
-boot_clock::time_point membership_node::majorityUntil(boot_clock::time_point now) const
+boot_clock::time_point membership_node::majorityAcknowledged(boot_clock::time_point now) const
 {
     const std::size_t needed = m_list.members.size() / 2 + 1;
     if (m_list.members.size() <= 1) {
@@ -209,7 +198,13 @@
         return {};
     }
     std::sort(acknowledged.begin(), acknowledged.end(), std::greater<>());
-    return acknowledged[needed - 1] + m_settings.lease;
+    return acknowledged[needed - 1];
+}
+
+boot_clock::time_point membership_node::majorityUntil(boot_clock::time_point now) const
+{
+    const auto acknowledged = majorityAcknowledged(now);
+    return acknowledged == boot_clock::time_point() ? acknowledged : acknowledged + m_settings.lease;
 }
 
 boot_clock::time_point membership_node::entitledUntil(boot_clock::time_point now) const
--- a/membership/membership_node.h
+++ b/membership/membership_node.h
@@ -148,8 +148,10 @@
     };
     newer_state newestHeard(boot_clock::time_point now) const;
 
-    /// Number of list members, this one included, heard within the given time.
-    std::size_t heardWithin(std::chrono::milliseconds time, boot_clock::time_point now) const;
+    /// When this instance sent the newest heartbeat that a majority of the list has acknowledged: what these members told is at least as recent.
+    /// The epoch when there is none, also in a list of one member. A process that resumes reads old datagrams from its socket, so the time at
+    /// which a datagram was read tells nothing about its age.
+    boot_clock::time_point majorityAcknowledged(boot_clock::time_point now) const;
 
     /// A list that waits for the document of its revision; nullptr when there is none.
     const member_list *pendingList() const;
