--- a/http/http_test.cpp
+++ b/http/http_test.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "base/coroutine_test_support.h"
 #include "http/http.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,19 +31,10 @@
         REQUIRE(server.listen(Local).has_value());
     }
 
-    /// Runs a coroutine to its end, for at most five seconds.
+    /// Runs a coroutine to its end.
     void run(asio::awaitable<void> task)
     {
-        bool done = false;
-        asio::co_spawn(context, std::move(task), [&](std::exception_ptr failed) {
-            done = true;
-            context.stop();
-            if (failed) {
-                std::rethrow_exception(failed);
-            }
-        });
-        context.run_for(std::chrono::seconds(5));
-        CHECK(done);
+        CHECK(runToEnd(context, std::move(task)));
     }
 
     asio::io_context context;
--- a/query/running_query.cpp
+++ b/query/running_query.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::microseconds OtherDataCentrePenalty{3000};
 
 /// One in this many first attempts goes to an idle cold replica although a warm one exists; without any, a cold target would never warm up.
-constexpr std::uint64_t ColdTrialOneIn = 64;
+constexpr std::uint64_t ColdTrialOneIn = 8;
 
 /// A hedge that was not possible is considered again after this time.
 constexpr std::chrono::milliseconds HedgePause{10};
--- a/standins/standins_test.cpp
+++ b/standins/standins_test.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "base/coroutine_test_support.h"
 #include "standins/standins.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -77,16 +78,7 @@
 
     void run(asio::awaitable<void> task)
     {
-        bool done = false;
-        asio::co_spawn(context, std::move(task), [&](std::exception_ptr failed) {
-            done = true;
-            context.stop();
-            if (failed) {
-                std::rethrow_exception(failed);
-            }
-        });
-        context.run_for(std::chrono::seconds(10));
-        CHECK(done);
+        CHECK(runToEnd(context, std::move(task)));
         process.stop();
     }
 
@@ -410,16 +402,7 @@
 
     void run(asio::awaitable<void> task)
     {
-        bool done = false;
-        asio::co_spawn(context, std::move(task), [&](std::exception_ptr failed) {
-            done = true;
-            context.stop();
-            if (failed) {
-                std::rethrow_exception(failed);
-            }
-        });
-        context.run_for(std::chrono::seconds(10));
-        CHECK(done);
+        CHECK(runToEnd(context, std::move(task)));
         relay.stop();
     }
 
--- a/wire/wire_test.cpp
+++ b/wire/wire_test.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "base/coroutine_test_support.h"
 #include "wire/wire.h"
 
 #include <algorithm>
@@ -59,19 +60,10 @@
             crash_notice{{{7, "a"}}, {{8, 1000}}}};
 }
 
-/// Runs a coroutine on its own io_context, for at most 20 seconds.
+/// Runs a coroutine on its own io_context.
 void run(asio::io_context &context, asio::awaitable<void> task)
 {
-    bool done = false;
-    asio::co_spawn(context, std::move(task), [&](std::exception_ptr failed) {
-        done = true;
-        context.stop();
-        if (failed) {
-            std::rethrow_exception(failed);
-        }
-    });
-    context.run_for(std::chrono::seconds(20));
-    CHECK(done);
+    CHECK(runToEnd(context, std::move(task)));
 }
 
 } // namespace
