--- a/control/control_core.cpp
+++ b/control/control_core.cpp
@@ -111,7 +111,7 @@
     if (!peer) {
         co_return peer.error();
     }
-    const frame_limits limits;
+    const frame_limits limits = core.values.instance.frameLimits();
     auto opened = co_await frame_connection::open(peer.value(), core.values.instance.listenAddress, PeerTimeout, limits);
     if (!opened) {
         co_return opened.error();
--- a/control/control_core.h
+++ b/control/control_core.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds stopLimit{15000}; ///< A planned stop ends after this time even when work is still in flight.
     std::chrono::milliseconds stopServeTime{3500}; ///< A planned stop goes on for this long while the front end is connected; above the advice validity.
     std::chrono::milliseconds storeTimeout{1000};
+    std::int64_t frameConnections = 1024; ///< From local programs and other controllers.
 };
 
 /// Hash under which a peer asks for the member list in fetch_sections; not a content hash.
--- a/control/local_programs.cpp
+++ b/control/local_programs.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr std::size_t ConnectionLimit = 1024;
 constexpr std::chrono::milliseconds StateCheckPeriod{50};
 constexpr int EntitlementEvery = 4; ///< Checks, which makes 200 ms.
 /// Programs report every 500 ms. One that has been silent for longer may hang, so its entitlement isn't extended.
@@ -23,8 +22,11 @@
 
 local_programs::local_programs(control_core &core)
     : m_core(core)
-    , m_server(
-          core.context, frame_limits(), ConnectionLimit, core.numbers, [this](frame_connection::pointer connection) { return serve(std::move(connection)); })
+    , m_server(core.context,
+               core.values.instance.frameLimits(),
+               static_cast<std::size_t>(core.values.frameConnections),
+               core.numbers,
+               [this](frame_connection::pointer connection) { return serve(std::move(connection)); })
 {
 }
 
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -79,7 +79,7 @@
 operator_api::operator_api(control_core &core, configuration_task &task)
     : m_core(core)
     , m_task(task)
-    , m_server(core.context, http_limits(), core.numbers, [this](http_request request) { return handle(std::move(request)); })
+    , m_server(core.context, core.values.instance.adminLimits(), core.numbers, [this](http_request request) { return handle(std::move(request)); })
 {
 }
 
--- a/programs/balsam_control.cpp
+++ b/programs/balsam_control.cpp
@@ -41,6 +41,7 @@
                         std::chrono::minutes(10),
                         "shortest planned stop while the front end is connected; above its address validity");
     options.addDuration("store-timeout", values.storeTimeout, std::chrono::milliseconds(10), std::chrono::minutes(1), "time limit of one store call");
+    options.addNumber("frame-connections", values.frameConnections, 1, 65536, "connections from local programs and other controllers");
     if (const std::optional<int> exitCode = options.parse(argumentCount, arguments)) {
         return *exitCode;
     }
--- a/programs/balsam_dispatch.cpp
+++ b/programs/balsam_dispatch.cpp
@@ -73,13 +73,14 @@
                     values.instance.local(values.instance.controlPort),
                     m_identity,
                     m_numbers,
-                    {[this](const control_state &state) { m_dispatcher.apply(state); }, [this] { return m_dispatcher.status(); }})
+                    {[this](const control_state &state) { m_dispatcher.apply(state); }, [this] { return m_dispatcher.status(); }},
+                    values.instance.frameLimits())
         , m_frames(m_context,
-                   frame_limits{},
+                   values.instance.frameLimits(),
                    static_cast<std::size_t>(values.frontConnections),
                    m_numbers,
                    [this](frame_connection::pointer connection) { return m_dispatcher.serve(std::move(connection)); })
-        , m_admin(m_context, http_limits{}, m_numbers, [this](http_request request) { return answerAdmin(std::move(request)); })
+        , m_admin(m_context, values.instance.adminLimits(), m_numbers, [this](http_request request) { return answerAdmin(std::move(request)); })
     {
     }
 
--- a/programs/balsam_front.cpp
+++ b/programs/balsam_front.cpp
@@ -42,6 +42,7 @@
     front_settings front;
     front.identity = {values.instance.instance, randomId(), program_role::Front, values.instance.dataCentre};
     front.listenAddress = values.instance.listenAddress;
+    front.frames = values.instance.frameLimits();
     front.inFlightLimit = static_cast<std::size_t>(values.inFlight);
     front.budgetBurst = static_cast<double>(values.budgetBurst);
     front.addressValidity = values.addressValidity;
@@ -61,7 +62,8 @@
                     values.instance.local(values.instance.controlPort),
                     m_front.identity,
                     m_numbers,
-                    {[this](const control_state &state) { m_service.applyState(state); }, [this] { return status(); }})
+                    {[this](const control_state &state) { m_service.applyState(state); }, [this] { return status(); }},
+                    values.instance.frameLimits())
         , m_server(m_context, limits(values), m_numbers, [this](http_request request) { return answer(std::move(request)); })
     {
     }
--- a/programs/control_client.cpp
+++ b/programs/control_client.cpp
@@ -23,12 +23,13 @@
 
 struct control_client::task : std::enable_shared_from_this<task>
 {
-    task(asio::io_context &ioContext, endpoint address, hello ownIdentity, counters &programCounters, callbacks notify)
+    task(asio::io_context &ioContext, endpoint address, hello ownIdentity, counters &programCounters, callbacks notify, frame_limits frameLimits)
         : context(ioContext)
         , controller(std::move(address))
         , identity(std::move(ownIdentity))
         , numbers(programCounters)
         , callback(std::move(notify))
+        , limits(frameLimits)
         , timer(ioContext)
         , statusTimer(ioContext)
     {
@@ -39,6 +40,7 @@
     hello identity;
     counters &numbers;
     callbacks callback;
+    frame_limits limits;
     asio::steady_timer timer;
     asio::steady_timer statusTimer;
     frame_connection::pointer connection;
@@ -103,9 +105,8 @@
 
 asio::awaitable<void> control_client::task::stayConnected(std::shared_ptr<task> self)
 {
-    const frame_limits limits;
     while (!self->stopped) {
-        auto opened = co_await frame_connection::open(self->controller, self->controller.address, ConnectTimeout, limits);
+        auto opened = co_await frame_connection::open(self->controller, self->controller.address, ConnectTimeout, self->limits);
         if (opened && !self->stopped) {
             self->connection = opened.value();
             if (self->connection->send(self->identity)) {
@@ -133,8 +134,8 @@
     }
 }
 
-control_client::control_client(asio::io_context &context, endpoint controller, hello identity, counters &numbers, callbacks notify)
-    : m_task(std::make_shared<task>(context, std::move(controller), std::move(identity), numbers, std::move(notify)))
+control_client::control_client(asio::io_context &context, endpoint controller, hello identity, counters &numbers, callbacks notify, frame_limits limits)
+    : m_task(std::make_shared<task>(context, std::move(controller), std::move(identity), numbers, std::move(notify), limits))
 {
 }
 
--- a/programs/control_client.h
+++ b/programs/control_client.h
@@ -23,7 +23,7 @@
     };
 
     /// Precondition: context and numbers outlive the client.
-    control_client(boost::asio::io_context &context, endpoint controller, hello identity, counters &numbers, callbacks notify);
+    control_client(boost::asio::io_context &context, endpoint controller, hello identity, counters &numbers, callbacks notify, frame_limits limits = {});
     ~control_client();
 
     void start();
--- a/programs/program.cpp
+++ b/programs/program.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::int64_t LowestPort = 1;
 constexpr std::int64_t HighestPort = 65535;
+constexpr std::int64_t LowestFrameBytes = 64 * 1024;
+constexpr std::int64_t HighestFrameBytes = 256 * 1024 * 1024;
 
 std::string advertised(const instance_settings &values, std::int64_t port)
 {
@@ -27,6 +29,21 @@
     return {listenAddress, static_cast<std::uint16_t>(port)};
 }
 
+frame_limits instance_settings::frameLimits() const
+{
+    frame_limits limits;
+    limits.frameBytes = static_cast<std::size_t>(frameBytes);
+    limits.sendQueueBytes = static_cast<std::size_t>(sendQueueBytes);
+    return limits;
+}
+
+http_limits instance_settings::adminLimits() const
+{
+    http_limits limits;
+    limits.connections = static_cast<std::size_t>(adminConnections);
+    return limits;
+}
+
 member_entry instance_settings::memberEntry() const
 {
     member_entry entry;
@@ -52,6 +69,9 @@
     options.addNumber("control-port", values.controlPort, LowestPort, HighestPort, "port for frames to the controller");
     options.addNumber("gossip-port", values.gossipPort, LowestPort, HighestPort, "UDP port for gossip between controllers");
     options.addNumber("operator-port", values.operatorPort, LowestPort, HighestPort, "operators' HTTP port");
+    options.addNumber("frame-bytes", values.frameBytes, LowestFrameBytes, HighestFrameBytes, "largest message between own processes in bytes");
+    options.addNumber("send-queue-bytes", values.sendQueueBytes, LowestFrameBytes, HighestFrameBytes, "unsent bytes of one connection between own processes");
+    options.addNumber("admin-connections", values.adminConnections, 1, 65536, "HTTP connections of operators and for metrics");
 }
 
 std::optional<http_response> adminResponse(const http_request &request, const counters &numbers, const span_store &spans, bool ready)
--- a/programs/program.h
+++ b/programs/program.h
@@ -29,15 +29,25 @@
     std::int64_t controlPort = 7002;
     std::int64_t gossipPort = 7003;
     std::int64_t operatorPort = 7080;
+    std::int64_t frameBytes = DefaultFrameLimitBytes;
+    std::int64_t sendQueueBytes = 16 * 1024 * 1024;
+    std::int64_t adminConnections = 256;
 
     /// Address for listening on one of the ports.
     endpoint local(std::int64_t port) const;
 
+    /// Limits of connections between own processes.
+    frame_limits frameLimits() const;
+
+    /// Limits of the HTTP servers for operators and metrics.
+    http_limits adminLimits() const;
+
     /// The entry of this instance in the member list.
     member_entry memberEntry() const;
 };
 
-/// Adds --instance, --data-centre, --listen-address, --advertise-address and the ports. Precondition: values outlives the parsing.
+/// Adds --instance, --data-centre, --listen-address, --advertise-address, the ports and the limits that all programs have. Precondition: values outlives the
+/// parsing.
 void addInstanceSettings(settings &options, instance_settings &values);
 
 /// Answers GET /metrics, /healthz and /v1/spans?trace=ID; no value for other paths. Health is 200 when ready, else 503.
--- a/query/dispatcher_links.cpp
+++ b/query/dispatcher_links.cpp
@@ -49,10 +49,11 @@
 
 struct dispatcher_links::task : std::enable_shared_from_this<task>
 {
-    task(asio::io_context &ioContext, hello ownIdentity, std::string localAddress, counters &programCounters, callbacks callers)
+    task(asio::io_context &ioContext, hello ownIdentity, std::string localAddress, frame_limits frameLimits, counters &programCounters, callbacks callers)
         : context(ioContext)
         , identity(std::move(ownIdentity))
         , bindAddress(std::move(localAddress))
+        , limits(frameLimits)
         , numbers(programCounters)
         , notify(std::move(callers))
     {
@@ -61,6 +62,7 @@
     asio::io_context &context;
     hello identity;
     std::string bindAddress;
+    frame_limits limits;
     counters &numbers;
     callbacks notify;
     std::map<std::string, std::shared_ptr<link>> links;
@@ -118,10 +120,9 @@
 
 asio::awaitable<void> dispatcher_links::task::stayConnected(std::shared_ptr<task> self, std::shared_ptr<link> to)
 {
-    const frame_limits limits;
     std::chrono::milliseconds pause = FirstPause;
     while (!to->stopped && !self->stopped) {
-        auto opened = co_await frame_connection::open(to->dispatcher, self->bindAddress, ConnectTimeout, limits);
+        auto opened = co_await frame_connection::open(to->dispatcher, self->bindAddress, ConnectTimeout, self->limits);
         if (opened && !to->stopped && !self->stopped) {
             pause = FirstPause;
             to->connection = opened.value();
@@ -141,8 +142,8 @@
     }
 }
 
-dispatcher_links::dispatcher_links(asio::io_context &context, hello identity, std::string bindAddress, counters &numbers, callbacks notify)
-    : m_task(std::make_shared<task>(context, std::move(identity), std::move(bindAddress), numbers, std::move(notify)))
+dispatcher_links::dispatcher_links(asio::io_context &context, hello identity, std::string bindAddress, frame_limits limits, counters &numbers, callbacks notify)
+    : m_task(std::make_shared<task>(context, std::move(identity), std::move(bindAddress), limits, numbers, std::move(notify)))
 {
 }
 
--- a/query/dispatcher_links.h
+++ b/query/dispatcher_links.h
@@ -25,7 +25,7 @@
     };
 
     /// Precondition: context and numbers outlive the links; the callbacks may be called until stop().
-    dispatcher_links(boost::asio::io_context &context, hello identity, std::string bindAddress, counters &numbers, callbacks notify);
+    dispatcher_links(boost::asio::io_context &context, hello identity, std::string bindAddress, frame_limits limits, counters &numbers, callbacks notify);
     ~dispatcher_links();
     dispatcher_links(const dispatcher_links &) = delete;
     dispatcher_links &operator=(const dispatcher_links &) = delete;
--- a/query/front_service.cpp
+++ b/query/front_service.cpp
@@ -81,6 +81,7 @@
     , m_links(context,
               m_settings.identity,
               m_settings.listenAddress,
+              m_settings.frames,
               numbers,
               {[this](const std::string &instance, const message &content) { received(instance, content); },
                [this](const std::string &instance) { perform(m_engine.connectionLost(instance, boot_clock::now())); }})
--- a/query/front_service.h
+++ b/query/front_service.h
@@ -22,6 +22,7 @@
 {
     hello identity;
     std::string listenAddress; ///< Local address of connections to dispatchers.
+    frame_limits frames; ///< Of connections to dispatchers.
     std::size_t inFlightLimit = 512;
     double budgetBurst = 20;
     std::chrono::milliseconds addressValidity{3000};
