--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -78,7 +78,6 @@
     {
     }
 
-    beast::tcp_stream stream;
     /// Between exchanges nothing may arrive, so readable bytes mean an end of the stream, a reset, or a peer that broke the protocol.
     bool isClosedByPeer()
     {
@@ -87,6 +86,7 @@
         return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::string peer;
     bool sentBytes = false;
--- a/standins/target_server.cpp
+++ b/standins/target_server.cpp
@@ -117,6 +117,9 @@
     result<void> listen();
     void closeAll();
     void restart(std::chrono::milliseconds downTime);
+
+    /// Crashes the target on a poisoned request, unless it has restarted since the request was admitted.
+    void crashIfPoisoned(std::string_view request, std::uint64_t admittedGeneration);
     void wakeStarted();
     void cancel(const std::string &requestId);
     bool holds(data_snapshot wanted) const;
@@ -172,6 +175,14 @@
     jobs.clear();
 }
 
+void target_server::state::crashIfPoisoned(std::string_view request, std::uint64_t admittedGeneration)
+{
+    if (generation == admittedGeneration && request.find(behaviour.poisonWord) != std::string_view::npos) {
+        model.countCrash();
+        restart(behaviour.downTime);
+    }
+}
+
 void target_server::state::restart(std::chrono::milliseconds downTime)
 {
     closeAll();
@@ -414,10 +425,7 @@
     std::optional<answer> ended = co_await waitForSlot(self, id, deadline);
     if (!ended) {
         ended = co_await work(self, id, deadline, true);
-        if (self->generation == ownGeneration && text.find(self->behaviour.poisonWord) != std::string::npos) {
-            self->model.countCrash();
-            self->restart(self->behaviour.downTime);
-        }
+        self->crashIfPoisoned(text, ownGeneration);
     }
     self->release(id, ownGeneration);
     if (ended) {
@@ -447,10 +455,7 @@
         self->data.ledger.record(self->shape.service, key);
         self->model.countExecution();
         ended = co_await work(self, id, deadline, false);
-        if (self->generation == ownGeneration && payload.find(self->behaviour.poisonWord) != std::string::npos) {
-            self->model.countCrash();
-            self->restart(self->behaviour.downTime);
-        }
+        self->crashIfPoisoned(payload, ownGeneration);
     }
     self->release(id, ownGeneration);
     if (ended) {
