Refuse requests that crash targets

Cause: on the platform's path a request that crashes each target that runs it was sent to both replicas of every shard, again at each try of its caller; docs/PROOFS.md listed it as open. The first design refuses such requests in quarantine/, which the new path did not use.

Ruled out: blaming each lost answer.

Change: node/crash_watch keeps what was lost and tells crashes to the other instances with the heartbeats; quarantine/ gets thresholds. A query that has lost three targets before any part is in holds its second sends until a target survives it. Refusals log the id of their request.

Figures: request_test, 8 shards of 2 replicas that break off: 16 targets reached before, at most 12 now (failing before).

--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -138,6 +138,11 @@
     if (connection->requestsRead() == 1) {
         request.objectiveAt -= NewConnectionTime;
     }
+    const auto refusedFor = m_context.crashes.refusedFor(*request.outgoing, boot_clock::now());
+    if (refusedFor.count() > 0) {
+        answerItself(connection, refusal("targets crashed while they ran this request", refusedFor), "crashes_targets", request.outgoing->requestId());
+        return;
+    }
     run(connection, std::move(request), statistics);
 }
 
@@ -145,22 +150,23 @@
 {
     constexpr unsigned BadRequest = 400;
     constexpr unsigned NotFound = 404;
+    const std::string *requestId = message.find(platform_header::RequestId);
+    const std::string id = requestId == nullptr ? std::string() : *requestId;
     if (!m_configuration) {
         const bool isStarting = clock::now() - m_startedAt < StartingTime;
-        answerItself(connection, refusal("no configuration is known yet", isStarting ? StartingRetryAfter : StoreLostRetryAfter), "no_configuration");
+        answerItself(connection, refusal("no configuration is known yet", isStarting ? StartingRetryAfter : StoreLostRetryAfter), "no_configuration", id);
         return true;
     }
     if (message.find("Host") == nullptr) {
-        answerItself(connection, ownResponse(BadRequest, "header Host is missing"), "no_host");
+        answerItself(connection, ownResponse(BadRequest, "header Host is missing"), "no_host", id);
         return true;
     }
     if (matched == nullptr) {
-        answerItself(connection, ownResponse(NotFound, "no route for this host and path"), "no_route");
+        answerItself(connection, ownResponse(NotFound, "no route for this host and path"), "no_route", id);
         return true;
     }
-    const std::string *id = message.find(platform_header::RequestId);
-    if (id == nullptr || id->empty()) {
-        answerItself(connection, ownResponse(BadRequest, "header Request-Id is missing"), "no_request_id");
+    if (id.empty()) {
+        answerItself(connection, ownResponse(BadRequest, "header Request-Id is missing"), "no_request_id", id);
         return true;
     }
     return false;
@@ -220,10 +226,14 @@
     connection->respond(response, m_leaving);
 }
 
-void caller_service::answerItself(const caller_connection::pointer &connection, const caller_response &response, std::string_view reason)
+void caller_service::answerItself(const caller_connection::pointer &connection,
+                                  const caller_response &response,
+                                  std::string_view reason,
+                                  std::string_view requestId)
 {
     m_context.numbers.add(std::string("requests_refused_total{reason=\"").append(reason).append("\"}"));
-    m_context.log.write(event_class::Decision, event_line("callers", "refused").add("why", reason).add("status", response.status), clock::now());
+    m_context.log.write(
+        event_class::Decision, event_line("callers", "refused").add("id", requestId).add("why", reason).add("status", response.status), clock::now());
     connection->respond(response, m_leaving);
 }
 
--- a/node/caller_service.h
+++ b/node/caller_service.h
@@ -56,7 +56,7 @@
     arrived_request arrive(const http_message &message, const route &matched, route_statistics &statistics) const;
     void run(const caller_connection::pointer &connection, arrived_request request, route_statistics &statistics);
     void answer(const caller_connection::pointer &connection, request_outcome outcome, const caller_response &response);
-    void answerItself(const caller_connection::pointer &connection, const caller_response &response, std::string_view reason);
+    void answerItself(const caller_connection::pointer &connection, const caller_response &response, std::string_view reason, std::string_view requestId);
     void logEnd(const running_request &ended, request_outcome outcome, unsigned status);
     route_statistics &statisticsOf(const route &matched);
 
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -13,6 +13,10 @@
 /// Signatures in one header line; a caller may bound the length of a line.
 constexpr std::size_t SignaturesPerHeader = 40;
 constexpr std::chrono::milliseconds ShortestRetryAfter{50};
+/// A query that lost this many targets and got no part may be one that crashes every target that runs it.
+constexpr std::size_t SuspiciousLosses = 3;
+/// Second sends that such a query may lose before its other shards are given up.
+constexpr std::size_t MostRepeatedLosses = 3;
 
 } // namespace
 
@@ -168,6 +172,7 @@
         logDecision("attempt_failed", shard, attempt->link().target.id, nameOf(result.outcome).data());
         sendAgain(index, result, now);
     }
+    reviewHeld(now);
     decide(now);
     schedule();
 }
@@ -187,6 +192,9 @@
 void gather_request::sendAgain(std::size_t index, const attempt_result &result, clock::time_point now)
 {
     shard_state &shard = m_shards[index];
+    if (result.outcome == attempt_outcome::Lost) {
+        noteLoss(shard);
+    }
     if (shard.sends >= m_request.matched->maxAttempts) {
         shard.isExhausted = shard.attempts.empty();
         return;
@@ -196,6 +204,52 @@
         shard.isExhausted = true;
         return;
     }
+    const bool isSuspected = m_signatures.empty() && m_losses >= SuspiciousLosses;
+    if (isSuspected && isAnyUnderWay()) {
+        shard.isHeld = true;
+        shard.hedgeAt = clock::time_point::max();
+        return;
+    }
+    trySend(index, false, now);
+}
+
+void gather_request::noteLoss(const shard_state &shard)
+{
+    ++m_losses;
+    m_repeatedLosses += shard.tried.size() > 1 ? 1 : 0;
+    if (m_losses == SuspiciousLosses && m_signatures.empty()) {
+        logDecision("second_sends_held", shard, shard.tried.back(), "targets_lost");
+    }
+}
+
+bool gather_request::isAnyUnderWay() const
+{
+    return std::any_of(m_shards.begin(), m_shards.end(), [](const shard_state &shard) { return !shard.attempts.empty(); });
+}
+
+void gather_request::reviewHeld(clock::time_point now)
+{
+    if (m_isOver) {
+        return;
+    }
+    for (std::size_t i = 0; i < m_shards.size(); ++i) {
+        if (!m_shards[i].isHeld) {
+            continue;
+        }
+        if (!m_signatures.empty()) {
+            release(i, now);
+        } else if (m_repeatedLosses >= MostRepeatedLosses) {
+            m_shards[i].isHeld = false;
+            m_shards[i].isExhausted = true;
+        } else if (!isAnyUnderWay()) {
+            release(i, now);
+        }
+    }
+}
+
+void gather_request::release(std::size_t index, clock::time_point now)
+{
+    m_shards[index].isHeld = false;
     trySend(index, false, now);
 }
 
@@ -208,6 +262,7 @@
     m_timerDue = clock::time_point::max();
     const auto now = clock::now();
     runDue(now);
+    reviewHeld(now);
     decide(now);
     schedule();
 }
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -37,6 +37,7 @@
         bool wasHedged = false;
         bool isDone = false;
         bool isExhausted = false; ///< Brings no part any more.
+        bool isHeld = false; ///< Its second send waits until another shard shows that targets survive the request.
         clock::time_point hedgeAt = clock::time_point::max();
         clock::time_point retryAt = clock::time_point::max(); ///< When to look for a replica again.
     };
@@ -49,6 +50,10 @@
     void onAttempt(std::size_t index, const target_attempt_ptr &attempt, attempt_result result);
     void takePart(shard_state &shard, const attempt_result &result);
     void sendAgain(std::size_t index, const attempt_result &result, clock::time_point now);
+    void noteLoss(const shard_state &shard);
+    bool isAnyUnderWay() const;
+    void reviewHeld(clock::time_point now);
+    void release(std::size_t index, clock::time_point now);
     void onTimer();
     void runDue(clock::time_point now);
     void decide(clock::time_point now);
@@ -72,6 +77,8 @@
     record_merge m_records;
     timer_queue::handle m_timer = 0;
     clock::time_point m_timerDue = clock::time_point::max();
+    std::size_t m_losses = 0; ///< Sends that ended without an answer.
+    std::size_t m_repeatedLosses = 0; ///< Those that were not the first of their shard.
     std::size_t m_skipped = 0; ///< Shards that were not asked because they would be late.
     bool m_mayHaveRun = false;
     bool m_isOver = false;
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "node/crash_watch.h"
 #include "platform/platform.h"
 #include "routing/routing.h"
 
@@ -26,6 +27,7 @@
     counters &numbers;
     platform_settings &settings;
     retry_budget budget;
+    crash_watch crashes{log, numbers};
     std::mt19937 random{std::random_device{}()};
 
     /// Returns a number in 0 to 1.
--- a/node/outgoing_request.cpp
+++ b/node/outgoing_request.cpp
@@ -32,6 +32,8 @@
     const std::string *id = request.find(platform_header::RequestId);
     BALSAM_ASSERT(id != nullptr);
     m_requestId = *id;
+    const std::string *host = request.find("Host");
+    m_identity.append(request.method).append(" ").append(host == nullptr ? "" : *host).append(request.target);
     const std::string *connectionOptions = request.find("Connection");
     m_head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     for (const header_field &field : request.fields) {
@@ -62,6 +64,11 @@
     return m_requestId;
 }
 
+std::uint64_t outgoing_request::fingerprint() const
+{
+    return stableHash(m_body, stableHash(m_identity));
+}
+
 bool outgoing_request::expectsBody() const
 {
     return m_expectsBody;
--- a/node/outgoing_request.h
+++ b/node/outgoing_request.h
@@ -3,6 +3,7 @@
 #include "http/http.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
 
     const std::string &requestId() const;
 
+    /// The same for each try of a caller: a hash of method, host, target and body.
+    std::uint64_t fingerprint() const;
+
     /// False for HEAD, whose responses have no body.
     bool expectsBody() const;
 
@@ -28,6 +32,7 @@
     std::string m_head; ///< Request line and common headers, each line ended.
     std::string m_body;
     std::string m_requestId;
+    std::string m_identity; ///< Method, host and target.
     bool m_expectsBody = true;
 };
 
--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -11,6 +11,16 @@
 /// First field of each datagram between instances; a datagram with another value is ignored.
 constexpr std::uint8_t PeerMessageVersion = 1;
 
+/// A target that crashed while it ran a request.
+struct peer_crash
+{
+    std::uint64_t fingerprint = 0; ///< Of the request; the same when a caller sends it again.
+    std::string target;
+    std::string requestId;
+
+    MSGPACK_DEFINE_ARRAY(fingerprint, target, requestId)
+};
+
 /// What an instance tells the others a few times a second, in one datagram.
 struct peer_heartbeat
 {
@@ -26,6 +36,7 @@
     std::uint32_t intervalMilliseconds = 0; ///< Until the next heartbeat.
     std::vector<std::string> targetDataCentres;
     std::vector<std::string> knownAddresses; ///< Of other instances.
+    std::vector<peer_crash> crashes; ///< That this instance saw lately.
 
     MSGPACK_DEFINE_ARRAY(version,
                          instance,
@@ -38,7 +49,8 @@
                          mostSenders,
                          intervalMilliseconds,
                          targetDataCentres,
-                         knownAddresses)
+                         knownAddresses,
+                         crashes)
 };
 
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -98,6 +98,7 @@
                        heartbeat.mostSenders,
                        std::chrono::milliseconds(heartbeat.intervalMilliseconds),
                        heartbeat.targetDataCentres};
+    m_context.crashes.merge(heartbeat.crashes, boot_clock::now());
     const bool isNew = m_peers.hear(status, now);
     for (const std::string &address : heartbeat.knownAddresses) {
         if (address != m_context.settings.address) {
@@ -134,6 +135,7 @@
     heartbeat.mostSenders = static_cast<std::uint32_t>(m_status.mostSenders);
     heartbeat.intervalMilliseconds = static_cast<std::uint32_t>(interval().count());
     heartbeat.targetDataCentres = m_status.targetDataCentres;
+    heartbeat.crashes = m_context.crashes.recent(boot_clock::now());
     if (withAddresses) {
         heartbeat.knownAddresses = m_peers.addresses();
         std::shuffle(heartbeat.knownAddresses.begin(), heartbeat.knownAddresses.end(), m_context.random);
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -21,7 +21,7 @@
 
 using steady = std::chrono::steady_clock;
 
-http_message message(const std::string &method = "GET")
+http_message requestMessage(const std::string &method = "GET")
 {
     http_message made;
     made.method = method;
@@ -39,7 +39,7 @@
 /// One request with its answer.
 struct played_request
 {
-    played_request(node_fixture &fixture, route matched, http_message sent = message())
+    played_request(node_fixture &fixture, route matched, http_message sent = requestMessage())
         : m_fixture(fixture)
         , m_statistics{latency_window(8ms), {}}
     {
@@ -244,6 +244,47 @@
     CHECK_MESSAGE(failed.answer->status == 502, "a part ran, so a refusal would not be true");
 }
 
+TEST_CASE("gather_request: a query that every target breaks off reaches few second replicas (guards against one query that crashes all targets)")
+{
+    node_fixture fixture;
+    constexpr std::size_t Shards = 8;
+    std::vector<std::unique_ptr<fake_target>> targets;
+    for (std::size_t i = 0; i < 2 * Shards; ++i) {
+        targets.push_back(std::make_unique<fake_target>(fixture.io, fixture.timers, "t" + std::to_string(i), breakOff));
+        fixture.add(targets.back()->registration("s" + std::to_string(i / 2)));
+    }
+    played_request played(fixture, gatherRoute(Shards, 0.5));
+    played.play();
+    CHECK(played.answer->status == 502);
+    CHECK(played.endedAfter < 150ms);
+    std::size_t reached = 0;
+    for (const auto &target : targets) {
+        reached += target->received.size();
+    }
+    CHECK(reached >= Shards);
+    CHECK(reached <= Shards + 4);
+}
+
+TEST_CASE("gather_request: when all targets of one data centre crash under a query the others answer it (guards against giving up an answerable query)")
+{
+    node_fixture fixture;
+    constexpr std::size_t Shards = 8;
+    std::vector<std::unique_ptr<fake_target>> targets;
+    for (std::size_t i = 0; i < Shards; ++i) {
+        const std::string service = "s" + std::to_string(i);
+        targets.push_back(std::make_unique<fake_target>(fixture.io, fixture.timers, "local" + std::to_string(i), breakOff));
+        fixture.add(targets.back()->registration(service));
+        targets.push_back(std::make_unique<fake_target>(fixture.io, fixture.timers, "remote" + std::to_string(i), records("sig" + std::to_string(i), Middle)));
+        registered_target remote = targets.back()->registration(service);
+        remote.dataCentre = "dc2";
+        fixture.add(remote);
+    }
+    played_request played(fixture, gatherRoute(Shards, 1));
+    played.play();
+    CHECK(played.outcome == request_outcome::Complete);
+    CHECK(played.endedAfter < 150ms);
+}
+
 TEST_CASE("gather_request: a caller that leaves cancels everything (guards against work for nobody)")
 {
     node_fixture fixture;
@@ -267,7 +308,7 @@
         registered_target remote = sound.registration("s0");
         remote.dataCentre = "dc2";
         fixture.add(remote);
-        played_request played(fixture, forwardRoute(repeat), message("POST"));
+        played_request played(fixture, forwardRoute(repeat), requestMessage("POST"));
         played.play();
         const bool mayRepeat = repeat == repeat_rule::Idempotent;
         CHECK(broken.received.size() == 1);
@@ -287,7 +328,7 @@
         registered_target remote = sound.registration("s0");
         remote.dataCentre = "dc2";
         fixture.add(remote);
-        played_request played(fixture, forwardRoute(repeat_rule::NonIdempotent), message("POST"));
+        played_request played(fixture, forwardRoute(repeat_rule::NonIdempotent), requestMessage("POST"));
         played.play();
         CHECK(played.answer->status == 200);
         CHECK(played.answer->body == "body");
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -114,6 +114,7 @@
             return;
         }
         if (!isOpen) {
+            self->m_context.crashes.onTargetDown(self->m_link->target.id, boot_clock::now());
             self->failToOpen();
             return;
         }
@@ -212,6 +213,9 @@
     const auto now = steady::now();
     const attempt_outcome outcome = classify(exchanged);
     updateHealth(outcome, exchanged, now);
+    if (outcome == attempt_outcome::Lost && exchanged.wasReset && !exchanged.sawBytes) {
+        m_context.crashes.onLost(m_link->target.id, *m_order.request, boot_clock::now());
+    }
     m_context.numbers.add(std::string("attempts_total{outcome=\"").append(nameOf(outcome)).append("\"}"));
     m_context.timers.stop(m_timer);
     release(true);
@@ -310,6 +314,7 @@
 {
     target_link_ptr &link = m_byId[known.target.id];
     if (link && hasRestarted) {
+        m_context.crashes.onTargetDown(known.target.id, boot_clock::now());
         detach(link);
         link = nullptr;
     }
@@ -333,6 +338,7 @@
     }
     detach(found->second);
     m_byId.erase(found);
+    m_context.crashes.forget(id);
 }
 
 void target_pool::setEvacuated(std::set<std::string> dataCentres)
--- a/quarantine/quarantine.cpp
+++ b/quarantine/quarantine.cpp
@@ -5,6 +5,14 @@
 namespace balsamhook
 {
 
+namespace
+{
+
+/// Targets and requests that are kept for one fingerprint.
+constexpr std::size_t MostEvidence = 16;
+
+} // namespace
+
 std::uint64_t queryFingerprint(std::string_view service, std::string_view text)
 {
     return stableHash(text, stableHash(service));
@@ -15,44 +23,66 @@
     return stableHash(payload, stableHash(key, stableHash(service)));
 }
 
-quarantine::quarantine(std::chrono::milliseconds period, std::size_t capacity)
+quarantine::quarantine(std::chrono::milliseconds period, std::size_t capacity, quarantine_thresholds thresholds)
     : m_period(period)
     , m_capacity(capacity)
+    , m_thresholds(thresholds)
 {
     BALSAM_ASSERT(capacity >= 1);
+    BALSAM_ASSERT(thresholds.targets >= 1);
 }
 
-void quarantine::recordCrash(std::uint64_t fingerprint, std::string_view target, time_point now)
+bool quarantine::isEnough(const suspect &entry) const
 {
-    const auto [found, isNew] = m_suspects.try_emplace(fingerprint, suspect{std::string(target), now});
-    suspect &entry = found->second;
-    if (isNew) {
-        limitSize();
-        return;
+    const std::size_t requests = std::max<std::size_t>(entry.requests.size(), 1);
+    return entry.targets.size() >= m_thresholds.targets && requests >= m_thresholds.requests;
+}
+
+void quarantine::recordCrash(std::uint64_t fingerprint, std::string_view target, time_point now, std::string_view requestId)
+{
+    suspect &entry = m_suspects.try_emplace(fingerprint, suspect{{}, {}, now, {}}).first->second;
+    // Crashes long ago are no evidence any more.
+    if (now - entry.crashedAt > m_period) {
+        entry.targets.clear();
+        entry.requests.clear();
     }
-    // A first crash long ago is no evidence any more.
-    const bool isRecent = now - entry.crashedAt <= m_period;
-    if (isRecent && entry.target != target) {
-        entry.refusedUntil = now + m_period;
-        entry.crashedAt = now;
+    const bool isNewTarget = entry.targets.size() < MostEvidence && entry.targets.emplace(target).second;
+    const bool isNewRequest = !requestId.empty() && entry.requests.size() < MostEvidence && entry.requests.emplace(requestId).second;
+    if (!isNewTarget && !isNewRequest && !requestId.empty()) {
         return;
     }
-    entry.target = target;
     entry.crashedAt = now;
+    if (isEnough(entry) && (isNewTarget || isNewRequest)) {
+        entry.refusedUntil = now + m_period;
+    }
+    limitSize();
 }
 
 void quarantine::merge(const quarantine_notice &notice, time_point now)
 {
     const std::chrono::milliseconds remaining = std::clamp(std::chrono::milliseconds(notice.remainingMilliseconds), std::chrono::milliseconds(0), m_period);
-    suspect &entry = m_suspects.try_emplace(notice.fingerprint, suspect{std::string(), now}).first->second;
+    suspect &entry = m_suspects.try_emplace(notice.fingerprint, suspect{{}, {}, now, {}}).first->second;
     entry.refusedUntil = std::max(entry.refusedUntil, now + remaining);
     limitSize();
 }
 
 bool quarantine::isRefused(std::uint64_t fingerprint, time_point now) const
+{
+    return refusedFor(fingerprint, now).count() > 0;
+}
+
+std::chrono::milliseconds quarantine::refusedFor(std::uint64_t fingerprint, time_point now) const
 {
     const auto found = m_suspects.find(fingerprint);
-    return found != m_suspects.end() && now < found->second.refusedUntil;
+    if (found == m_suspects.end() || now >= found->second.refusedUntil) {
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(found->second.refusedUntil - now);
+}
+
+bool quarantine::isEmpty() const
+{
+    return m_suspects.empty();
 }
 
 void quarantine::merge(const crash_notice &notice, time_point now)
@@ -69,9 +99,11 @@
 {
     crash_notice all{{}, notices(now)};
     for (const auto &[fingerprint, entry] : m_suspects) {
-        const bool isRecent = !entry.target.empty() && now - entry.crashedAt <= m_period;
-        if (isRecent) {
-            all.crashes.push_back({fingerprint, entry.target});
+        if (now - entry.crashedAt > m_period) {
+            continue;
+        }
+        for (const std::string &target : entry.targets) {
+            all.crashes.push_back({fingerprint, target});
         }
     }
     return all;
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -29,6 +29,22 @@
     CHECK_FALSE(other.isRefused(7, Start + 31s));
 }
 
+TEST_CASE("with higher thresholds a fingerprint needs that many targets and requests, and a crash that is told again is no new one")
+{
+    quarantine records(1min, 16, {3, 2});
+    for (int told = 0; told < 3; ++told) {
+        records.recordCrash(7, "a", Start + std::chrono::seconds(told), "r1");
+        records.recordCrash(7, "b", Start + std::chrono::seconds(told), "r1");
+        records.recordCrash(7, "c", Start + std::chrono::seconds(told), "r1");
+    }
+    CHECK_FALSE(records.isRefused(7, Start + 3s));
+    records.recordCrash(7, "a", Start + 4s, "r2");
+    CHECK(records.refusedFor(7, Start + 4s) == 1min);
+    records.recordCrash(7, "a", Start + 10s, "r2");
+    CHECK(records.refusedFor(7, Start + 34s) == 30s);
+    CHECK_FALSE(records.isEmpty());
+}
+
 TEST_CASE("the quarantine forgets the oldest fingerprint beyond its capacity")
 {
     quarantine records(1min, 2);
