Find a store that is back with probes that overtake each other

Cause: after a loss of power while the store was silent, each instance tried its three lists again on its own, with growing timeouts; it read the catalogue up to 0.6 s after the store was back. An instance whose watches waited at a store that fell silent did not notice for 12 s, so it asked no other instance meanwhile.

Ruled out: shorter timeouts alone; a slow store then never answers in time.

--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -29,9 +29,10 @@
 constexpr std::chrono::milliseconds AskPeersAfter{400};
 constexpr std::chrono::milliseconds AskPeersInterval{700};
 constexpr std::chrono::milliseconds PeerTimeout{600};
-/// A watch that went into a silent store shows nothing for its whole time; a cheap stale read tells that the store was away.
-constexpr std::chrono::milliseconds CheckInterval{1000};
-constexpr std::chrono::milliseconds CheckTimeout{1000};
+/// While the store doesn't answer probes, calls that are charged in full are tried this rarely: what it refuses to one kind of call it may grant another.
+constexpr std::chrono::milliseconds LostRetry{1000};
+/// Calls that end this soon after they were dropped here say nothing about the store.
+constexpr std::chrono::milliseconds DropTime{50};
 
 } // namespace
 
@@ -39,9 +40,10 @@
     : m_context(context)
     , m_store(store)
     , m_handlers(std::move(callbacks))
-    , m_configurationKind{platform_kind::Configuration}
-    , m_targetKind{platform_kind::Targets}
-    , m_evacuationKind{platform_kind::Evacuations}
+    , m_configurationKind(context.io, platform_kind::Configuration)
+    , m_targetKind(context.io, platform_kind::Targets)
+    , m_evacuationKind(context.io, platform_kind::Evacuations)
+    , m_probe(context, store, [this](clock::time_point lostBefore) { onStoreAnswered(lostBefore); })
 {
 }
 
@@ -52,7 +54,7 @@
         asio::co_spawn(m_context.io, follow(*kind), asio::detached);
     }
     asio::co_spawn(m_context.io, askPeers(), asio::detached);
-    asio::co_spawn(m_context.io, checkStore(), asio::detached);
+    m_probe.start();
     expireTargets();
 }
 
@@ -67,7 +69,8 @@
         kind->isListed = false;
         kind->lostAt = clock::now();
     }
-    m_store.dropWatches();
+    m_probe.setActive(isNeeded);
+    dropCalls(clock::now());
     if (!isNeeded) {
         forget();
     }
@@ -104,6 +107,10 @@
         } else {
             outcome = co_await readList(kind);
         }
+        const bool wasDropped = !outcome && outcome.error().code == error_code::Closed && clock::now() - m_callsDroppedAt < DropTime;
+        if (wasDropped) {
+            continue;
+        }
         noteResult(kind, outcome);
         if (outcome) {
             pause = FirstRetry;
@@ -113,11 +120,40 @@
             kind.isListed = false;
             continue;
         }
-        co_await sleepFor(m_context.io, pause);
+        m_probe.suspect();
+        co_await waitAfterFailure(kind, pause);
         pause = std::min(pause * 2, LongestRetry);
     }
 }
 
+asio::awaitable<void> catalogue_sync::waitAfterFailure(followed_kind &kind, std::chrono::milliseconds pause)
+{
+    co_await sleepFor(m_context.io, pause);
+    if (!m_probe.isLost()) {
+        co_return;
+    }
+    boost::system::error_code ignored;
+    kind.retry.expires_after(LostRetry - pause);
+    co_await kind.retry.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void catalogue_sync::onStoreAnswered(clock::time_point lostBefore)
+{
+    if (lostBefore != clock::time_point{}) {
+        m_context.log.write(event_class::Belief, event_line("catalogue", "watches_renewed").add("why", "store answers again"), clock::now());
+        dropCalls(lostBefore);
+    }
+    for (followed_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
+        kind->retry.cancel();
+    }
+}
+
+void catalogue_sync::dropCalls(clock::time_point begunBefore)
+{
+    m_callsDroppedAt = clock::now();
+    m_store.dropCalls(begunBefore);
+}
+
 void catalogue_sync::noteResult(followed_kind &kind, const result<void> &outcome)
 {
     const auto now = clock::now();
@@ -347,24 +383,7 @@
 {
     const auto now = clock::now();
     const auto isLost = [now](const followed_kind &kind) { return !kind.isReachable && now - kind.lostAt > AskPeersAfter; };
-    return isLost(m_configurationKind) || isLost(m_targetKind) || isLost(m_evacuationKind);
-}
-
-asio::awaitable<void> catalogue_sync::checkStore()
-{
-    bool wasAnswering = true;
-    while (true) {
-        co_await sleepFor(m_context.io, CheckInterval);
-        if (!m_isNeeded || isStoreLost()) {
-            continue;
-        }
-        const auto page = co_await m_store.list(platform_kind::Evacuations, {}, read_mode::Stale, CheckTimeout);
-        if (page.has_value() && !wasAnswering) {
-            m_context.log.write(event_class::Belief, event_line("catalogue", "watches_renewed").add("why", "store answers again"), clock::now());
-            m_store.dropWatches();
-        }
-        wasAnswering = page.has_value();
-    }
+    return m_probe.isLostFor(AskPeersAfter) || isLost(m_configurationKind) || isLost(m_targetKind) || isLost(m_evacuationKind);
 }
 
 asio::awaitable<void> catalogue_sync::askPeers()
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -2,13 +2,16 @@
 
 #include "catalogue/catalogue.h"
 #include "node/node_context.h"
+#include "node/store_probe.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace balsamhook
 {
@@ -50,18 +53,27 @@
     /// One kind of objects that is followed.
     struct followed_kind
     {
+        followed_kind(boost::asio::io_context &io, std::string_view name)
+            : kind(name)
+            , retry(io)
+        {
+        }
+
         std::string kind;
         std::uint64_t revision = 0; ///< Watched from here.
         bool isListed = false;
         bool isReachable = false; ///< The last call succeeded.
         clock::time_point lostAt{}; ///< When calls began to fail.
         std::chrono::milliseconds listTimeout{0}; ///< Grows while the store is slow.
+        boost::asio::steady_timer retry; ///< Waits for the store; stopped when it answers again.
     };
 
     boost::asio::awaitable<void> follow(followed_kind &kind);
     boost::asio::awaitable<result<void>> readList(followed_kind &kind);
     boost::asio::awaitable<result<void>> watchOnce(followed_kind &kind);
-    boost::asio::awaitable<void> checkStore();
+    boost::asio::awaitable<void> waitAfterFailure(followed_kind &kind, std::chrono::milliseconds pause);
+    void dropCalls(clock::time_point begunBefore);
+    void onStoreAnswered(clock::time_point lostBefore);
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<bool> askPeer(endpoint peer);
     void noteResult(followed_kind &kind, const result<void> &outcome);
@@ -88,6 +100,8 @@
     bool m_isPublished = false; ///< The configuration was handed on since the catalogue is followed.
     std::set<std::string> m_evacuations;
     std::set<std::string> m_unreadable; ///< Entries that were reported as unreadable.
+    store_probe m_probe;
+    clock::time_point m_callsDroppedAt{};
     bool m_hasTargets = false;
     bool m_isNeeded = false;
 };
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -206,6 +206,36 @@
     CHECK(std::chrono::steady_clock::now() - back < 1200ms);
 }
 
+TEST_CASE("catalogue_sync: however long an outage lasts, a start in it ends at once after it (late retries cost 0.6 s of service after a loss of power)")
+{
+    for (const auto outage : {200ms, 550ms, 900ms, 1300ms, 1900ms}) {
+        sync_fixture fixture;
+        fixture.stand.put("config", "main", configurationSpec(1));
+        fixture.stand.setCondition(store_condition::Silent);
+        fixture.follow();
+        fixture.runFor(outage);
+        const auto callsInOutage = fixture.stand.calls();
+        fixture.stand.setCondition(store_condition::Up);
+        const auto back = std::chrono::steady_clock::now();
+        REQUIRE(fixture.runUntil([&] { return fixture.sync->isReady(); }));
+        CHECK_MESSAGE(std::chrono::steady_clock::now() - back < 350ms, "outage of ", outage.count(), " ms");
+        CHECK(callsInOutage < 30);
+    }
+}
+
+TEST_CASE("catalogue_sync: a store that falls silent under a waiting watch is missed (an instance cut off from it asked nobody for 12 s)")
+{
+    sync_fixture fixture;
+    fixture.stand.put("config", "main", configurationSpec(1));
+    fixture.follow();
+    REQUIRE(fixture.runUntil([&] { return fixture.sync->isReady() && fixture.sync->isStoreReached(); }));
+    fixture.stand.setCondition(store_condition::Silent);
+    CHECK(fixture.runUntil([&] { return !fixture.sync->isStoreReached(); }, 2500ms));
+    fixture.stand.setCondition(store_condition::Up);
+    fixture.stand.put("servers", "t1", targetSpec("s0"));
+    CHECK(fixture.runUntil([&] { return fixture.sync->isStoreReached() && fixture.targets.count("t1") == 1; }, 600ms));
+}
+
 TEST_CASE("catalogue_sync: while the store is lost another instance is asked (guards against an instance cut off from the store that stays ignorant)")
 {
     sync_fixture informed;
