Leave room at targets for connections of lost predecessors

Change: routing/connection_share holds the decision; a process up for less than 15 s takes only what its predecessor cannot have held.

--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -15,14 +15,8 @@
 constexpr std::chrono::milliseconds FreshConnection{1500};
 /// Time beyond the deadline handed on after which the connection of an abandoned request is closed.
 constexpr std::chrono::milliseconds AbandonSlack{100};
-/// Part of a target's connections that instances use together. Connections of instances that lost power stay counted at the target for many seconds, so
-/// a second generation of them has to fit.
-constexpr double UsedConnections = 0.55;
 /// After a target reset a new connection, no further one is opened to it for this long while others are open.
 constexpr std::chrono::milliseconds ConnectionLimitPause{500};
-constexpr unsigned ConnectionsPerSlot = 2;
-constexpr unsigned SpareConnections = 2;
-constexpr unsigned UnknownConnectionLimit = 4;
 constexpr unsigned Misdirected = 421; ///< The address belongs to another target.
 
 bool isSuccess(unsigned status)
@@ -405,12 +399,12 @@
 unsigned target_pool::connectionLimit(const target_link &link) const
 {
     const service_settings *service = m_configuration ? m_configuration->findService(link.target.service) : nullptr;
-    const unsigned useful = link.target.slots * ConnectionsPerSlot + SpareConnections;
-    if (service == nullptr || service->maxConnections == 0) {
-        return std::min(useful, UnknownConnectionLimit);
-    }
-    const auto share = static_cast<unsigned>(service->maxConnections * UsedConnections / m_instances);
-    return std::clamp(share, 1U, useful);
+    connection_demand demand;
+    demand.connectionsOfTarget = service == nullptr ? 0 : service->maxConnections;
+    demand.slots = link.target.slots;
+    demand.senders = m_instances;
+    demand.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - m_startedAt);
+    return connectionShare(demand);
 }
 
 std::chrono::milliseconds target_pool::warmupLeft(const target_link &link, steady::time_point now) const
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -171,6 +171,7 @@
     std::set<std::string> m_evacuated;
     std::shared_ptr<const routing_configuration> m_configuration;
     unsigned m_instances = 1;
+    std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     std::set<std::string> m_senders;
     bool m_isCutOff = false;
 };
--- a/routing/routing_test.cpp
+++ b/routing/routing_test.cpp
@@ -221,6 +221,27 @@
     CHECK(*choose({refused, tried}).chosen == 0);
 }
 
+TEST_CASE("connectionShare: two generations of senders stay within a target's limit (a target reset 825 connections after all instances lost power)")
+{
+    CHECK(rc::check("usual and young shares", [] {
+        connection_demand demand;
+        demand.connectionsOfTarget = *rc::gen::inRange(4U, 700U);
+        demand.senders = *rc::gen::inRange(1U, 40U);
+        demand.slots = *rc::gen::inRange(1U, 9U);
+        const unsigned young = connectionShare(demand);
+        demand.uptime = 1min;
+        const unsigned usual = connectionShare(demand);
+        RC_ASSERT(young >= 1 && young <= usual);
+        // Below two connections for each sender there is no room for a second generation.
+        RC_PRE(demand.connectionsOfTarget * 0.9 >= 2.0 * demand.senders);
+        RC_ASSERT((young + usual) * demand.senders <= demand.connectionsOfTarget);
+    }));
+    CHECK_MESSAGE(connectionShare({26, 2, 7, 0s}) == 1, "one site of today");
+    CHECK(connectionShare({26, 2, 7, 20s}) == 2);
+    CHECK(connectionShare({25, 2, 6, 0s}) >= 1);
+    CHECK_MESSAGE(connectionShare({0, 2, 7, 20s}) == 4, "limit not known");
+}
+
 TEST_CASE("retry_budget: all instances together stay within the ratio and the slack in every window (guards against retry storms)")
 {
     rc::check([] {
