Tell in refusals when targets are expected back

A single request without targets waited 80 ms before it was refused.

Change: target_pool knows when a service's targets are expected (end of a pause after failures, or the next heartbeat after the store is back); a query takes the time at which enough shards are back. A request that can't find a target within its waiting time is refused at once.

--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -23,7 +23,7 @@
 /// An answer is sent this long before the caller gives up.
 constexpr std::chrono::milliseconds FinalMargin{12};
 /// A process that has just started reads the catalogue within this time; one that can't reach the store waits for longer.
-constexpr std::chrono::milliseconds StartingRetryAfter{250};
+constexpr std::chrono::milliseconds StartingRetryAfter{120};
 constexpr std::chrono::milliseconds StoreLostRetryAfter{1000};
 constexpr std::chrono::milliseconds StartingTime{1500};
 constexpr std::size_t ReservedDescriptors = 1000; ///< For targets, the store, peers and files.
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -167,6 +167,9 @@
                                     .add("revision", kind.revision),
                                 now);
         }
+        if (&kind == &m_targetKind && !kind.isReachable) {
+            m_handlers.onTargetsRegained();
+        }
         kind.isReachable = true;
         return;
     }
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -29,6 +29,7 @@
         std::function<void(const target_catalogue::record &, bool hasRestarted)> onTarget;
         std::function<void(const std::string &id)> onTargetRemoved;
         std::function<void(std::set<std::string>)> onEvacuations;
+        std::function<void()> onTargetsRegained; ///< The store was away, and the targets were read again; some may have yet to register.
         std::function<std::vector<endpoint>()> peers; ///< Internal addresses of instances that are alive, in the order in which to ask them.
     };
 
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -62,6 +62,7 @@
         handlers.onTarget = [this](const target_catalogue::record &known, bool) { targets[known.target.id] = known; };
         handlers.onTargetRemoved = [this](const std::string &id) { targets.erase(id); };
         handlers.onEvacuations = [this](std::set<std::string> names) { evacuated = std::move(names); };
+        handlers.onTargetsRegained = [] {};
         handlers.peers = [this] { return peers; };
         return std::make_unique<catalogue_sync>(context, used, std::move(handlers));
     }
@@ -261,6 +262,7 @@
     handlers.onTarget = [&](const target_catalogue::record &known, bool) { ids.insert(known.target.id); };
     handlers.onTargetRemoved = [](const std::string &) {};
     handlers.onEvacuations = [](const std::set<std::string> &) {};
+    handlers.onTargetsRegained = [] {};
     handlers.peers = [&] { return std::vector<endpoint>{internal}; };
     catalogue_sync ignorant(informed.context, unreachable, std::move(handlers));
     ignorant.setNeeded(true);
@@ -298,13 +300,14 @@
     const std::string sound = "NodeName=n1\nIp=127.0.0.1\nZone=dc1\nRegion=r\nZones.dc1=r\nEndpoints.Front=127.0.0.1:81\nEndpoints.Readiness=127.0.0.1:82\n"
                               "Endpoints.Control=127.0.0.1:83\nEndpoints.directory=127.0.0.1:84\nInternalPorts=90,95\nSeeds=127.0.0.2:83,broken,\n"
                               "platform.Address=127.0.0.9:80\nLimits.CpuShare=0.25\nLimits.MemoryMb=260\nBounds.GraceS=6\nBounds.ttl_max_s=5\n"
-                              "Bounds.RetrySlack=52\nNew.Field=1\n# comment\n";
+                              "Bounds.RetrySlack=52\nHeartbeatMs=900\nNew.Field=1\n# comment\n";
     const auto read = parsePlatformSettings(sound);
     REQUIRE(read.has_value());
     CHECK(read.value().callers.port == 81);
     CHECK(read.value().seeds == std::vector<std::string>{"127.0.0.2"});
     CHECK(read.value().stopGrace == 6s);
     CHECK(read.value().retrySlack == 52);
+    CHECK(read.value().targetHeartbeat == 900ms);
     CHECK(read.value().processorShare == 0.25);
     const std::vector<std::pair<std::string, std::string>> broken{
         {"NodeName=n1", "NodeName"}, {"InternalPorts=90,95", "InternalPorts"}, {"Endpoints.Front=127.0.0.1:81", "Endpoints.Front"}};
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -82,8 +82,9 @@
 void forward_request::waitForReplica(const replica_decision &decision, clock::time_point now)
 {
     m_lastReason = decision.reason;
-    m_availableAt = decision.retryAt;
-    const clock::time_point again = decision.reason == no_replica::AllUnavailable ? std::max(now + LookAgain, decision.retryAt) : now + LookAgain;
+    const bool wereAllAsked = decision.reason == no_replica::None && !m_asked.tried.empty();
+    const clock::time_point expected = decision.reason == no_replica::AllFull ? now : m_pool.expectedAvailable(m_service, now);
+    const clock::time_point again = wereAllAsked ? clock::time_point::max() : std::max(now + LookAgain, expected);
     // Waiting beyond the time in which a refusal is still useful helps nobody.
     if (again > m_waitUntil) {
         if (m_attempts.empty()) {
@@ -240,7 +241,7 @@
                refusal("all targets are full", std::chrono::duration_cast<std::chrono::milliseconds>(m_statistics.latency.median())));
         return;
     }
-    const auto untilAvailable = std::chrono::duration_cast<std::chrono::milliseconds>(m_availableAt - now);
+    const auto untilAvailable = std::chrono::ceil<std::chrono::milliseconds>(m_pool.expectedAvailable(m_service, now) - now);
     finish(request_outcome::NotRunUnavailable, refusal("no target is available", std::max(untilAvailable, ShortestRetryAfter)));
 }
 
--- a/node/forward_request.h
+++ b/node/forward_request.h
@@ -52,7 +52,6 @@
     std::unique_ptr<http_message> m_failure; ///< A target's own failure, passed on when nothing better comes.
     unsigned m_sends = 0; ///< Targets that may have run it.
     no_replica m_lastReason = no_replica::None;
-    clock::time_point m_availableAt{};
     bool m_wasOffered = false;
     bool m_wasHedged = false;
     bool m_mayHaveRun = false;
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -44,7 +44,7 @@
         m_context.budget.onRequest(*m_shards[i].service, now);
     }
     if (!isReachable()) {
-        finish(request_outcome::NotRunCoverage, refusal("too few shards can be reached", std::chrono::milliseconds(m_request.matched->objective)));
+        finish(request_outcome::NotRunCoverage, refusal("too few shards can be reached", retryAfter(now)));
         return;
     }
     for (std::size_t i = 0; i < m_shards.size(); ++i) {
@@ -74,6 +74,19 @@
     return reachable >= needed;
 }
 
+std::chrono::milliseconds gather_request::retryAfter(clock::time_point now) const
+{
+    std::vector<clock::time_point> available;
+    available.reserve(m_shards.size());
+    for (const shard_state &shard : m_shards) {
+        available.push_back(m_pool.expectedAvailable(*shard.service, now));
+    }
+    // The query can be answered when as many shards as it needs are back.
+    const auto last = available.begin() + static_cast<std::ptrdiff_t>(partsNeeded(available.size(), gather().minimumCoverage) - 1);
+    std::nth_element(available.begin(), last, available.end());
+    return std::max(ShortestRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(*last - now));
+}
+
 void gather_request::trySend(std::size_t index, bool isHedge, clock::time_point now)
 {
     shard_state &shard = m_shards[index];
@@ -368,7 +381,7 @@
         return std::any_of(shard.attempts.begin(), shard.attempts.end(), [](const target_attempt_ptr &attempt) { return attempt->wasSent(); });
     });
     if (!m_mayHaveRun && !isUnderWay && m_signatures.empty()) {
-        finish(request_outcome::NotRunCoverage, refusal("too few shards can be reached", ShortestRetryAfter));
+        finish(request_outcome::NotRunCoverage, refusal("too few shards can be reached", retryAfter(now)));
         return;
     }
     logMissing();
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -44,6 +44,7 @@
 
     const gather_destination &gather() const;
     bool isReachable() const;
+    std::chrono::milliseconds retryAfter(clock::time_point now) const;
     void trySend(std::size_t index, bool isHedge, clock::time_point now);
     bool isHopeless(const replica_decision &decision, bool isHedge, clock::time_point now) const;
     void send(std::size_t index, const target_link_ptr &link, bool isHedge, clock::time_point now);
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -23,6 +23,8 @@
 /// An instance that leaves closes idle connections this long before it is killed.
 constexpr std::chrono::milliseconds CloseBeforeKill{1600};
 constexpr std::chrono::milliseconds ExitBeforeKill{400};
+/// Time that a registration takes to reach this instance.
+constexpr std::chrono::milliseconds RegistrationMargin{300};
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned NotFound = 404;
 
@@ -73,6 +75,7 @@
     };
     handlers.onTarget = [this](const target_catalogue::record &known, bool hasRestarted) { m_pool.update(known, hasRestarted); };
     handlers.onTargetRemoved = [this](const std::string &id) { m_pool.remove(id); };
+    handlers.onTargetsRegained = [this] { m_pool.expectRegistrations(clock::now() + m_settings.targetHeartbeat + RegistrationMargin); };
     handlers.onEvacuations = [this](std::set<std::string> dataCentres) { m_pool.setEvacuated(std::move(dataCentres)); };
     handlers.peers = [this] { return peersToAsk(); };
     return handlers;
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -307,6 +307,41 @@
     CHECK(first.received.size() + second.received.size() == 3);
 }
 
+TEST_CASE("refusals tell when targets are expected back (326 requests came back too early after an outage and were refused again)")
+{
+    const auto secondsOf = [](const played_request &played) { return std::stod(played.header("Retry-After")); };
+    node_fixture fixture;
+    played_request unknown(fixture, gatherRoute(4, 0.9));
+    unknown.play();
+    CHECK(secondsOf(unknown) == doctest::Approx(1.0));
+    fixture.pool.expectRegistrations(steady::now() + 400ms);
+    played_request regained(fixture, gatherRoute(4, 0.9));
+    regained.play();
+    CHECK(secondsOf(regained) > 0.3);
+    CHECK(secondsOf(regained) <= 0.4);
+    played_request forwarded(fixture, forwardRoute(repeat_rule::Idempotent));
+    forwarded.play();
+    CHECK(forwarded.answer->status == 503);
+    CHECK(secondsOf(forwarded) > 0.2);
+    CHECK(secondsOf(forwarded) <= 0.4);
+
+    // Three of four shards are enough, so the slowest may be left out.
+    fake_target target(fixture.io, fixture.timers, "t", records("sig", Middle));
+    for (int i = 0; i < 3; ++i) {
+        registered_target registration = target.registration("s" + std::to_string(i));
+        registration.id = "t" + std::to_string(i);
+        fixture.add(registration);
+        for (int failures = 0; failures <= i; ++failures) {
+            fixture.pool.usable(registration.service).front()->health.onUnreachable(steady::now() + failures * 1ms);
+        }
+    }
+    fixture.pool.expectRegistrations(steady::now() + 5s);
+    played_request paused(fixture, gatherRoute(4, 0.75, 50ms));
+    paused.play();
+    CHECK(paused.answer->status == 503);
+    CHECK(secondsOf(paused) < 0.5);
+}
+
 TEST_CASE("gather_request: a caller that leaves cancels everything (guards against work for nobody)")
 {
     node_fixture fixture;
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds AbandonSlack{100};
 /// After a target reset a new connection, no further one is opened to it for this long while others are open.
 constexpr std::chrono::milliseconds ConnectionLimitPause{500};
+/// A service without targets gets new ones within seconds, if at all.
+constexpr std::chrono::milliseconds WithoutTargets{1000};
 constexpr unsigned Misdirected = 421; ///< The address belongs to another target.
 
 bool isSuccess(unsigned status)
@@ -373,12 +375,39 @@
     return link.target.condition == target_condition::Ready && m_evacuated.count(link.target.dataCentre) == 0;
 }
 
-bool target_pool::hasAvailable(const std::string &service, steady::time_point now, steady::time_point before) const
+std::optional<steady::time_point> target_pool::firstAvailable(const std::string &service, steady::time_point now) const
 {
+    std::optional<steady::time_point> first;
     const auto found = m_byService.find(service);
-    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [&](const target_link_ptr &link) {
-               return isUsable(*link) && (link->health.isAvailable(now) || link->health.availableAt() < before);
-           });
+    if (found == m_byService.end()) {
+        return first;
+    }
+    for (const target_link_ptr &link : found->second) {
+        if (isUsable(*link)) {
+            const auto at = std::max(now, link->health.availableAt());
+            first = first ? std::min(*first, at) : at;
+        }
+    }
+    return first;
+}
+
+bool target_pool::hasAvailable(const std::string &service, steady::time_point now, steady::time_point before) const
+{
+    const auto first = firstAvailable(service, now);
+    return first && (*first == now || *first < before);
+}
+
+steady::time_point target_pool::expectedAvailable(const std::string &service, steady::time_point now) const
+{
+    if (const auto first = firstAvailable(service, now)) {
+        return *first;
+    }
+    return m_registrationsDue > now ? m_registrationsDue : now + WithoutTargets;
+}
+
+void target_pool::expectRegistrations(steady::time_point before)
+{
+    m_registrationsDue = before;
 }
 
 std::vector<target_link_ptr> target_pool::usable(const std::string &service) const
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -143,6 +144,12 @@
     /// True when a usable target of the service is available now or before the given time.
     bool hasAvailable(const std::string &service, std::chrono::steady_clock::time_point now, std::chrono::steady_clock::time_point before) const;
 
+    /// When a target of the service is expected to be available: now, after a pause that follows its failures, or once targets have registered again.
+    std::chrono::steady_clock::time_point expectedAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
+
+    /// The registrations were read after the store had been away: targets whose entries expired meanwhile register again by the given time.
+    void expectRegistrations(std::chrono::steady_clock::time_point before);
+
     /// Fills in what the choice of a replica needs.
     replica_view view(target_link &link, std::chrono::steady_clock::time_point now) const;
 
@@ -162,6 +169,7 @@
     double coldRate(const target_link &link, std::chrono::steady_clock::time_point now) const;
     bool isColdLimitReached(target_link &link, std::chrono::steady_clock::time_point now) const;
     bool isUsable(const target_link &link) const;
+    std::optional<std::chrono::steady_clock::time_point> firstAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
     void closeIdle(target_link &link);
     void detach(const target_link_ptr &link);
 
@@ -169,6 +177,7 @@
     std::unordered_map<std::string, target_link_ptr> m_byId;
     std::unordered_map<std::string, std::vector<target_link_ptr>> m_byService;
     std::set<std::string> m_evacuated;
+    std::chrono::steady_clock::time_point m_registrationsDue{};
     std::shared_ptr<const routing_configuration> m_configuration;
     unsigned m_instances = 1;
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
