Leave silent data centres alone and lead callers out of a cut

Cause: in a data centre that is cut off from the others each query waited for shards that can't be reached until it timed out; the directory there went on naming its own instances.

Ruled out: shorter timeouts of single targets; pauses and slow targets look the same, only silence of a whole data centre tells a cut. Not serving at all when peers are gone: a machine cut off from its peers alone serves well.

Change: routing/data_centre_watch finds data centres without any sign while several targets are overdue; node/target_reach tries them with single connections and knows whether a route can't be served. Impaired instances are named last; one that lost the store and all others as well adds the instances it heard elsewhere.

--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -37,6 +37,7 @@
     std::vector<std::string> targetDataCentres;
     std::vector<std::string> knownAddresses; ///< Of other instances.
     std::vector<peer_crash> crashes; ///< That this instance saw lately.
+    bool isImpaired = false; ///< Can't reach enough targets for some route.
 
     MSGPACK_DEFINE_ARRAY(version,
                          instance,
@@ -50,7 +51,8 @@
                          intervalMilliseconds,
                          targetDataCentres,
                          knownAddresses,
-                         crashes)
+                         crashes,
+                         isImpaired)
 };
 
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -107,6 +107,7 @@
                        heartbeat.dataCentre,
                        {heartbeat.address, heartbeat.callerPort},
                        heartbeat.isServing,
+                       heartbeat.isImpaired,
                        heartbeat.processorShare,
                        heartbeat.mostSenders,
                        std::chrono::milliseconds(heartbeat.intervalMilliseconds),
@@ -144,6 +145,7 @@
     heartbeat.dataCentre = settings.dataCentre;
     heartbeat.callerPort = settings.callers.port;
     heartbeat.isServing = m_status.isServing;
+    heartbeat.isImpaired = m_status.isImpaired;
     heartbeat.processorShare = settings.processorShare;
     heartbeat.mostSenders = static_cast<std::uint32_t>(m_status.mostSenders);
     heartbeat.intervalMilliseconds = static_cast<std::uint32_t>(interval().count());
@@ -396,7 +398,7 @@
 
 void peer_task::setStatus(own_status status)
 {
-    const bool hasChanged = m_status.isServing != status.isServing;
+    const bool hasChanged = m_status.isServing != status.isServing || m_status.isImpaired != status.isImpaired;
     m_status = std::move(status);
     if (!hasChanged) {
         return;
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -20,6 +20,7 @@
 struct own_status
 {
     bool isServing = false;
+    bool isImpaired = false;
     std::size_t mostSenders = 0;
     std::vector<std::string> targetDataCentres;
 };
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -51,6 +51,7 @@
                 retry_budget({m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow}, clock::now())}
     , m_store(m_settings.store, m_numbers)
     , m_pool(m_context)
+    , m_reach(m_context, m_pool)
     , m_callers(m_context, m_pool)
     , m_peers(m_context, m_store)
     , m_catalogue(m_context, m_store, catalogueHandlers())
@@ -118,6 +119,7 @@
 {
     own_status status;
     status.isServing = isServing();
+    status.isImpaired = m_reach.isImpaired();
     if (!m_configuration || !m_catalogue.isReady()) {
         return status;
     }
@@ -146,19 +148,23 @@
 std::vector<placement_candidate> query_node::placementCandidates() const
 {
     std::vector<placement_candidate> candidates;
-    std::vector<placement_candidate> others;
-    const std::set<std::string> &senders = m_peers.senders();
     if (isServing()) {
-        (m_peers.isSender() ? candidates : others).push_back({m_settings.instance, m_settings.dataCentre, m_settings.callers});
+        candidates.push_back({m_settings.instance, m_settings.dataCentre, m_settings.callers, m_peers.isSender(), m_reach.isImpaired(), true});
     }
-    for (const peer_table::peer &peer : m_peers.peers().alive(clock::now())) {
-        if (peer.status.isServing) {
-            const bool isSender = senders.count(peer.status.instance) > 0;
-            (isSender ? candidates : others).push_back({peer.status.instance, peer.status.dataCentre, peer.status.callers});
+    const auto now = clock::now();
+    const std::set<std::string> &senders = m_peers.senders();
+    for (const peer_table::peer &peer : m_peers.peers().recent(now)) {
+        const peer_status &status = peer.status;
+        if (status.isServing) {
+            candidates.push_back({status.instance,
+                                  status.dataCentre,
+                                  status.callers,
+                                  senders.count(status.instance) > 0,
+                                  status.isImpaired,
+                                  m_peers.peers().isAlive(status.instance, now)});
         }
     }
-    // While the senders have yet to read the catalogue, whoever serves is better than nobody.
-    return candidates.empty() ? others : candidates;
+    return candidates;
 }
 
 asio::awaitable<http_response> query_node::resolve(http_request request)
@@ -169,6 +175,8 @@
     placement_request wanted;
     wanted.callerDataCentre = std::string(request.parameter(ResolveDataCentre));
     wanted.targetsOfDataCentre = targetsOfDataCentre();
+    wanted.ownDataCentre = m_settings.dataCentre;
+    wanted.isStoreReached = m_catalogue.isStoreReached() || !m_peers.isSender();
     const std::vector<endpoint> addresses = placeCallers(placementCandidates(), wanted);
     m_numbers.add("directory_requests_total");
     if (addresses.empty()) {
@@ -254,6 +262,7 @@
     m_pool.setLimits(m_configuration, senders);
     const bool isCutOff = !m_catalogue.isStoreReached() && m_peers.senders().size() * 2 <= senders;
     m_pool.setSenders(m_peers.senders(), isCutOff && senders > 1);
+    m_reach.review(m_configuration.get(), now);
     m_peers.setStatus(ownStatus());
     constexpr std::chrono::seconds SettingsInterval{1};
     if (now - m_settingsCheckedAt > SettingsInterval) {
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -4,6 +4,7 @@
 #include "node/forward_request.h"
 #include "node/gather_request.h"
 #include "node/node_test_support.h"
+#include "node/target_reach.h"
 
 #include <fcntl.h>
 
@@ -493,6 +494,60 @@
     CHECK(fixture.pool.view(*link, steady::now() + 200ms).hasRoom == isFirstSender("i1", many, "t0"));
 }
 
+TEST_CASE("target_reach: targets of a data centre that doesn't answer are left alone together until one accepts a connection (guards against held requests)")
+{
+    node_fixture fixture;
+    // Connections to an address whose queue of new connections is full hang, as those into a cut do.
+    boost::asio::ip::tcp::acceptor full(fixture.io);
+    full.open(boost::asio::ip::tcp::v4());
+    full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    full.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> waiting;
+    for (int i = 0; i < 3; ++i) {
+        waiting.emplace_back(fixture.io);
+        waiting.back().async_connect(full.local_endpoint(), [](const boost::system::error_code &) {});
+    }
+    fixture.runFor(50ms);
+    fake_target sound(fixture.io, fixture.timers, "t0", records("sig", Middle));
+    const route served = gatherRoute(3, 1);
+    const routing_configuration configuration(1, {served}, {}, {});
+    for (int i = 0; i < 3; ++i) {
+        registered_target target = sound.registration("s" + std::to_string(i));
+        target.id = "t" + std::to_string(i);
+        target.dataCentre = "dc2";
+        target.address.port = full.local_endpoint().port();
+        fixture.add(target);
+        fixture.pool.usable(target.service).front()->health.onSent(steady::now() - 500ms);
+    }
+    target_reach reach(fixture.context, fixture.pool);
+    reach.review(&configuration, steady::now());
+    CHECK_FALSE(reach.isImpaired());
+    reach.review(&configuration, steady::now());
+    CHECK(reach.isImpaired());
+    played_request refused(fixture, gatherRoute(3, 1));
+    refused.play();
+    CHECK(refused.answer->status == 503);
+    CHECK(refused.endedAfter < 50ms);
+    fixture.runFor(300ms);
+    CHECK(reach.isImpaired());
+
+    // The cut ends: the address answers again.
+    for (int i = 0; i < 3; ++i) {
+        registered_target target = sound.registration("s" + std::to_string(i));
+        target.id = "t" + std::to_string(i);
+        target.dataCentre = "dc2";
+        fixture.add(target);
+    }
+    const bool isBack = fixture.runUntil([&] {
+        reach.review(&configuration, steady::now());
+        return !reach.isImpaired();
+    });
+    CHECK(isBack);
+    played_request answered(fixture, gatherRoute(3, 1));
+    answered.play();
+    CHECK(answered.answer->status == 200);
+}
+
 TEST_CASE("target_pool: connections are kept, bounded by the configuration and shared by the senders (guards against resets at the target's limit)")
 {
     node_fixture fixture;
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds ConnectionLimitPause{500};
 /// A service without targets gets new ones within seconds, if at all.
 constexpr std::chrono::milliseconds WithoutTargets{1000};
+constexpr message_reader::limits ResponseLimits{64 * 1024, 16 * 1024 * 1024};
 constexpr unsigned Misdirected = 421; ///< The address belongs to another target.
 
 bool isSuccess(unsigned status)
@@ -26,6 +27,19 @@
     return status >= 200 && status < 300;
 }
 
+/// Keeps a connection that carries no request for later requests to the target.
+void keepIdle(const target_link_ptr &link, const std::shared_ptr<target_connection> &connection)
+{
+    connection->onIdleClose([link, raw = connection.get()] {
+        const auto found = std::find_if(link->idle.begin(), link->idle.end(), [raw](const auto &kept) { return kept.get() == raw; });
+        if (found != link->idle.end()) {
+            link->idle.erase(found);
+            --link->connections;
+        }
+    });
+    link->idle.push_back(connection);
+}
+
 } // namespace
 
 std::string_view nameOf(attempt_outcome outcome)
@@ -118,7 +132,6 @@
 
 void target_attempt::openConnection()
 {
-    constexpr message_reader::limits ResponseLimits{64 * 1024, 16 * 1024 * 1024};
     ++m_link->connections;
     m_context.numbers.add("target_connections_opened_total");
     m_connection = std::make_shared<target_connection>(m_context.io, m_link->target.address, ResponseLimits);
@@ -136,6 +149,7 @@
             self->failToOpen();
             return;
         }
+        self->m_context.reach.onSign(self->m_link->target.dataCentre, steady::now());
         self->send(std::move(self->m_connection), false);
     });
 }
@@ -231,6 +245,7 @@
     const auto now = steady::now();
     const attempt_outcome outcome = classify(exchanged);
     updateHealth(outcome, exchanged, now);
+    m_context.reach.onSign(m_link->target.dataCentre, now);
     if (outcome == attempt_outcome::Lost && exchanged.wasReset && !exchanged.sawBytes) {
         m_context.crashes.onLost(m_link->target.id, *m_order.request, boot_clock::now());
     }
@@ -256,14 +271,7 @@
         --m_link->connections;
         return;
     }
-    connection->onIdleClose([link = m_link, raw = connection.get()] {
-        const auto found = std::find_if(link->idle.begin(), link->idle.end(), [raw](const auto &kept) { return kept.get() == raw; });
-        if (found != link->idle.end()) {
-            link->idle.erase(found);
-            --link->connections;
-        }
-    });
-    m_link->idle.push_back(connection);
+    keepIdle(m_link, connection);
 }
 
 void target_attempt::finish(attempt_result result)
@@ -303,6 +311,28 @@
     });
 }
 
+void openKeptConnection(node_context &context, const target_link_ptr &link, std::chrono::milliseconds timeout, std::function<void(bool isOpen)> done)
+{
+    ++link->connections;
+    context.numbers.add("target_connections_opened_total");
+    const auto connection = std::make_shared<target_connection>(context.io, link->target.address, ResponseLimits);
+    const auto timer = std::make_shared<timer_queue::handle>(0);
+    const auto finish = [link, connection, done = std::move(done)](bool isOpen) {
+        if (isOpen && !link->isRemoved) {
+            keepIdle(link, connection);
+        } else {
+            connection->close();
+            --link->connections;
+        }
+        done(isOpen);
+    };
+    *timer = context.timers.start(steady::now() + timeout, [finish] { finish(false); });
+    connection->open([&context, timer, finish](bool isOpen) {
+        context.timers.stop(*timer);
+        finish(isOpen);
+    });
+}
+
 target_pool::target_pool(node_context &context)
     : m_context(context)
 {
@@ -383,7 +413,7 @@
         return first;
     }
     for (const target_link_ptr &link : found->second) {
-        if (isUsable(*link)) {
+        if (isUsable(*link) && !m_context.reach.isSilent(link->target.dataCentre)) {
             const auto at = std::max(now, link->health.availableAt());
             first = first ? std::min(*first, at) : at;
         }
@@ -473,6 +503,7 @@
     seen.slots = link.target.slots;
     seen.isLocal = link.target.dataCentre == m_context.settings.dataCentre;
     seen.isLapsed = link.isLapsed;
+    seen.isUnreachable = m_context.reach.isSilent(link.target.dataCentre);
     const bool mayOpen = link.connections == 0 || (link.connections < connectionLimit(link) && now >= link.noNewConnectionsUntil);
     seen.hasRoom = link.health.hasCapacity() && (!link.idle.empty() || mayOpen);
     seen.warmupLeft = warmupLeft(link, now);
@@ -516,6 +547,11 @@
     return counts;
 }
 
+const std::unordered_map<std::string, target_link_ptr> &target_pool::all() const
+{
+    return m_byId;
+}
+
 std::size_t target_pool::size() const
 {
     return m_byId.size();
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -117,6 +117,9 @@
 
 using target_attempt_ptr = std::shared_ptr<target_attempt>;
 
+/// Opens a connection to a target and keeps it for later requests. The handler is called once.
+void openKeptConnection(node_context &context, const target_link_ptr &link, std::chrono::milliseconds timeout, std::function<void(bool isOpen)> done);
+
 /// The targets by service, with their connections. Not thread-safe.
 class target_pool
 {
@@ -144,7 +147,8 @@
     /// True when a usable target of the service is available now or before the given time.
     bool hasAvailable(const std::string &service, std::chrono::steady_clock::time_point now, std::chrono::steady_clock::time_point before) const;
 
-    /// When a target of the service is expected to be available: now, after a pause that follows its failures, or once targets have registered again.
+    /// When a target of the service that can be reached is expected to be available: now, after a pause that follows its failures, or once targets have
+    /// registered again.
     std::chrono::steady_clock::time_point expectedAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
 
     /// The registrations were read after the store had been away: targets whose entries expired meanwhile register again by the given time.
@@ -161,6 +165,9 @@
     /// Ready targets in each data centre.
     std::map<std::string, std::size_t> targetsOfDataCentre() const;
 
+    /// All registered targets by id.
+    const std::unordered_map<std::string, target_link_ptr> &all() const;
+
     std::size_t size() const;
 
 private:
--- /dev/null
+++ b/node/target_reach.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "node/target_pool.h"
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace balsamhook
+{
+
+/// Finds out which data centres' targets this instance can reach, tries silent ones again with single connections, and tells whether the instance can
+/// still serve its routes. Not thread-safe.
+class target_reach
+{
+public:
+    using clock = std::chrono::steady_clock;
+
+    /// Precondition: context and pool outlive the object.
+    target_reach(node_context &context, target_pool &pool);
+
+    /// To be called a few times a second. The configuration may be nullptr.
+    void review(const routing_configuration *configuration, clock::time_point now);
+
+    /// True while a route can't be served because of data centres that don't answer; other instances may serve it.
+    bool isImpaired() const;
+
+private:
+    void reviewDataCentres(clock::time_point now);
+    void probeSilent();
+    void probe(const target_link_ptr &link);
+    bool canServe(const route &served, clock::time_point now) const;
+
+    node_context &m_context;
+    target_pool &m_pool;
+    std::set<std::string> m_probing; ///< Data centres with a connection being opened.
+    bool m_isImpaired = false;
+};
+
+} // namespace balsamhook
--- a/routing/peer_table.cpp
+++ b/routing/peer_table.cpp
@@ -37,6 +37,12 @@
     return known.heardAt != clock::time_point{} && now - known.heardAt <= known.status.interval * AliveIntervals;
 }
 
+bool peer_table::isAlive(const std::string &instance, clock::time_point now) const
+{
+    const auto found = m_peers.find(instance);
+    return found != m_peers.end() && isAlive(found->second, now);
+}
+
 std::vector<peer_table::peer> peer_table::alive(clock::time_point now) const
 {
     std::vector<peer> living;
--- a/routing/peer_table.h
+++ b/routing/peer_table.h
@@ -20,6 +20,7 @@
     std::string dataCentre;
     endpoint callers;
     bool isServing = false; ///< Has a configuration and isn't stopping.
+    bool isImpaired = false; ///< Can't reach enough targets for some route.
     double processorShare = 1;
     std::size_t mostSenders = 0; ///< Instances that may run callers' requests, as the targets' connections allow; 0: not known to it.
     std::chrono::milliseconds interval{0}; ///< Until its next heartbeat, as it says.
@@ -52,6 +53,8 @@
     /// Returns true when the address is new.
     bool learnAddress(const std::string &address, clock::time_point now);
 
+    bool isAlive(const std::string &instance, clock::time_point now) const;
+
     /// Peers that are alive.
     std::vector<peer> alive(clock::time_point now) const;
 
--- a/routing/replica_choice.cpp
+++ b/routing/replica_choice.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::microseconds RemoteRoundTrip{2000};
 constexpr std::chrono::milliseconds LapsedPenalty{200};
 constexpr std::chrono::milliseconds RefusedPenalty{100};
+/// A data centre that doesn't answer is looked at again after this time.
+constexpr std::chrono::milliseconds UnreachablePause{100};
 constexpr double LargestRefusedShare = 0.9;
 
 std::chrono::microseconds
@@ -65,8 +67,8 @@
         if (replica.isTried) {
             continue;
         }
-        if (!replica.health->isAvailable(now)) {
-            const auto at = replica.health->availableAt();
+        if (replica.isUnreachable || !replica.health->isAvailable(now)) {
+            const auto at = replica.isUnreachable ? now + UnreachablePause : replica.health->availableAt();
             decision.retryAt = decision.reason == no_replica::AllUnavailable ? std::min(decision.retryAt, at) : at;
             decision.reason = decision.reason == no_replica::AllFull ? no_replica::AllFull : no_replica::AllUnavailable;
             continue;
--- a/routing/replica_choice.h
+++ b/routing/replica_choice.h
@@ -21,6 +21,7 @@
     bool isLapsed = false; ///< Its registration is gone; the last choice.
     bool isTried = false; ///< This request was sent there before and may have run.
     bool hasRefused = false; ///< This request was sent there before and did not run; asked again only when no other is left.
+    bool isUnreachable = false; ///< Its whole data centre doesn't answer this instance.
     bool hasRoom = false; ///< A connection is free or may be opened.
     std::chrono::milliseconds warmupLeft{0};
 };
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -7,6 +7,7 @@
 #include "routing/caller_placement.h"
 #include "routing/cold_bound.h"
 #include "routing/connection_share.h"
+#include "routing/data_centre_watch.h"
 #include "routing/latency_window.h"
 #include "routing/peer_table.h"
 #include "routing/replica_choice.h"
--- a/routing/routing_test.cpp
+++ b/routing/routing_test.cpp
@@ -367,6 +367,62 @@
     CHECK(placeCallers({}, request).empty());
 }
 
+TEST_CASE(
+    "placeCallers: instances that can serve every route first; from a data centre that is cut off also those elsewhere (a cut of 5 s took all its callers)")
+{
+    const auto made = [](const std::string &name, const std::string &dataCentre, bool isImpaired, bool isAlive) {
+        return placement_candidate{name, dataCentre, {name, 1}, true, isImpaired, isAlive};
+    };
+    placement_request request;
+    request.callerDataCentre = "a";
+    request.ownDataCentre = "a";
+    request.targetsOfDataCentre = {{"a", 10}, {"b", 10}};
+    const auto names = [&](const std::vector<placement_candidate> &candidates) {
+        std::set<std::string> chosen;
+        for (const endpoint &address : placeCallers(candidates, request)) {
+            chosen.insert(address.address);
+        }
+        return chosen;
+    };
+    using name_set = std::set<std::string>;
+    CHECK(names({made("a1", "a", false, true), made("a2", "a", false, true), made("b1", "b", false, true)}) == name_set{"a1", "a2"});
+    CHECK(names({made("a1", "a", true, true), made("a2", "a", true, true), made("b1", "b", false, true)}) == name_set{"b1"});
+    const name_set bothImpaired = names({made("a1", "a", true, true), made("b1", "b", true, true)});
+    CHECK(bothImpaired == name_set{"a1", "b1"});
+    const std::vector<placement_candidate> cut{made("a1", "a", true, true), made("a2", "a", true, true), made("b1", "b", false, false)};
+    const name_set withStore = names(cut);
+    CHECK_MESSAGE(withStore == name_set({"a1", "a2"}), "the store is reached, so the others are gone");
+    request.isStoreReached = false;
+    CHECK(names(cut) == name_set{"a1", "a2", "b1"});
+    const name_set unimpaired = names({made("a1", "a", false, true), made("a2", "a", false, true), made("b1", "b", false, false)});
+    CHECK(unimpaired == name_set{"a1", "a2"});
+}
+
+TEST_CASE("data_centre_watch: silent when several targets are overdue without any sign, until the next sign (guards against waiting for each shard alone)")
+{
+    data_centre_watch watch;
+    time_point now = Start;
+    watch.onSign("a", now);
+    now += 500ms;
+    CHECK_FALSE(watch.review("a", 2, now));
+    CHECK_FALSE(watch.review("a", 9, now));
+    CHECK_FALSE_MESSAGE(watch.isSilent("a"), "one review may follow a standstill of this process");
+    watch.onSign("a", now);
+    CHECK_FALSE(watch.review("a", 9, now + 100ms));
+    now += 500ms;
+    CHECK_FALSE(watch.review("a", 9, now));
+    CHECK(watch.review("a", 9, now + 100ms));
+    CHECK(watch.silent() == std::vector<std::string>{"a"});
+    CHECK_FALSE_MESSAGE(watch.review("a", 9, now + 200ms), "told once");
+    target_health health;
+    replica_view cut = viewOf(health);
+    cut.isUnreachable = true;
+    CHECK(*choose({cut, viewOf(health, false)}).chosen == 1);
+    CHECK(choose({cut}).reason == no_replica::AllUnavailable);
+    watch.onSign("a", now + 300ms);
+    CHECK(watch.silent().empty());
+}
+
 TEST_CASE("chooseSenders: the strongest, spread over data centres, no more than allowed (guards against more senders than targets have connections)")
 {
     std::vector<sender_candidate> candidates;
--- a/routing/target_health.cpp
+++ b/routing/target_health.cpp
@@ -143,13 +143,13 @@
 
 bool target_health::isStalled(microseconds typical, clock::time_point now) const
 {
-    if (m_sent.empty()) {
+    const auto oldest = oldestUnderWay();
+    if (!oldest) {
         return false;
     }
-    const auto oldest = *std::min_element(m_sent.begin(), m_sent.end());
     const double usual = static_cast<double>(typical.count()) * std::max(1.0, slownessAt(now));
     const microseconds limit = microseconds(static_cast<std::int64_t>(usual * StallFactor)) + StallFloor;
-    return now - oldest > limit;
+    return now - *oldest > limit;
 }
 
 target_health::microseconds target_health::expectedLatency(microseconds typical, unsigned slots, clock::time_point now) const
@@ -183,4 +183,12 @@
     return static_cast<unsigned>(m_sent.size());
 }
 
+std::optional<target_health::clock::time_point> target_health::oldestUnderWay() const
+{
+    if (m_sent.empty()) {
+        return std::nullopt;
+    }
+    return *std::min_element(m_sent.begin(), m_sent.end());
+}
+
 } // namespace balsamhook
--- a/routing/target_health.h
+++ b/routing/target_health.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace balsamhook
@@ -49,6 +50,9 @@
 
     unsigned underWay() const;
 
+    /// When the oldest request under way was sent; empty when none is.
+    std::optional<clock::time_point> oldestUnderWay() const;
+
     /// True when one more request may be under way. The number of requests that a target may have from this instance shrinks when its answers get slow
     /// and grows slowly when they are fast: some targets get slower the more they have queued, and would stay overloaded after the cause is gone.
     bool hasCapacity() const;
