--- /dev/null
+++ b/node/target_attempt.cpp
@@ -0,0 +1,300 @@
+#include "node/target_attempt.h"
+
+#include "platform/platform.h"
+
+#include <algorithm>
+
+namespace balsamhook
+{
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds ConnectTimeout{250};
+/// A request that must not be repeated uses a connection only if it was idle for less than this: an older one may have been dropped unnoticed.
+constexpr std::chrono::milliseconds FreshConnection{1500};
+/// Time beyond the deadline handed on after which the connection of an abandoned request is closed.
+constexpr std::chrono::milliseconds AbandonSlack{100};
+/// After a target reset a new connection, no further one is opened to it for this long while others are open.
+constexpr std::chrono::milliseconds ConnectionLimitPause{500};
+constexpr unsigned Misdirected = 421; ///< The address belongs to another target.
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+std::string_view nameOf(attempt_outcome outcome)
+{
+    switch (outcome) {
+    case attempt_outcome::Success:
+        return "success";
+    case attempt_outcome::TargetFailure:
+        return "target_failure";
+    case attempt_outcome::NotRun:
+        return "not_run";
+    case attempt_outcome::Unreachable:
+        return "unreachable";
+    case attempt_outcome::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
+bool mayHaveRun(attempt_outcome outcome)
+{
+    return outcome != attempt_outcome::Unreachable && outcome != attempt_outcome::NotRun;
+}
+
+void asked_targets::onOutcome(const std::string &targetId, const attempt_result &result)
+{
+    const bool mayAskAgain = result.outcome == attempt_outcome::NotRun && result.response.status != Misdirected;
+    if (mayAskAgain) {
+        std::erase(tried, targetId);
+        refused.push_back(targetId);
+    }
+}
+
+std::size_t asked_targets::sends() const
+{
+    return tried.size() + refused.size();
+}
+
+std::string asked_targets::last() const
+{
+    if (!tried.empty()) {
+        return tried.back();
+    }
+    return refused.empty() ? std::string() : refused.back();
+}
+
+target_attempt::target_attempt(node_context &context, target_link_ptr link, attempt_order order, handler done)
+    : m_context(context)
+    , m_link(std::move(link))
+    , m_order(std::move(order))
+    , m_done(std::move(done))
+{
+}
+
+const target_link &target_attempt::link() const
+{
+    return *m_link;
+}
+
+bool target_attempt::wasSent() const
+{
+    return m_wasSent;
+}
+
+void target_attempt::start()
+{
+    m_startedAt = steady::now();
+    m_link->health.onSent(m_startedAt);
+    if (auto kept = takeIdle(m_startedAt)) {
+        send(std::move(kept), true);
+        return;
+    }
+    openConnection();
+}
+
+std::shared_ptr<target_connection> target_attempt::takeIdle(steady::time_point now)
+{
+    while (!m_link->idle.empty()) {
+        auto kept = std::move(m_link->idle.back());
+        m_link->idle.pop_back();
+        const bool isFresh = m_order.mayRepeat || now - kept->idleSince() < FreshConnection;
+        if (kept->isReusable(now) && isFresh) {
+            return kept;
+        }
+        kept->close();
+        --m_link->connections;
+    }
+    return nullptr;
+}
+
+void target_attempt::openConnection()
+{
+    ++m_link->connections;
+    m_context.numbers.add("target_connections_opened_total");
+    m_connection = std::make_shared<target_connection>(m_context.io, m_link->target.address, ResponseLimits);
+    m_timer = m_context.timers.start(m_startedAt + ConnectTimeout, [self = shared_from_this()] {
+        self->m_timer = 0;
+        self->failToOpen();
+    });
+    m_connection->open([self = shared_from_this()](bool isOpen) {
+        self->m_context.timers.stop(self->m_timer);
+        if (self->m_isOver) {
+            return;
+        }
+        if (!isOpen) {
+            self->m_context.crashes.onTargetDown(self->m_link->target.id, boot_clock::now());
+            self->failToOpen();
+            return;
+        }
+        self->m_context.reach.onSign(self->m_link->target.dataCentre, steady::now());
+        self->send(std::move(self->m_connection), false);
+    });
+}
+
+void target_attempt::failToOpen()
+{
+    m_link->health.onUnreachable(steady::now());
+    release(false);
+    finish({attempt_outcome::Unreachable, {}, {}});
+}
+
+void target_attempt::send(std::shared_ptr<target_connection> connection, bool isReused)
+{
+    m_connection = std::move(connection);
+    m_isReused = isReused;
+    m_wasSent = true;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_order.deadline - steady::now());
+    const outgoing_request &request = *m_order.request;
+    m_connection->exchange(request.bytes(m_link->target.id, left),
+                           request.requestId(),
+                           request.expectsBody(),
+                           [self = shared_from_this()](exchange_result exchanged) { self->onExchanged(std::move(exchanged)); });
+}
+
+attempt_outcome target_attempt::classify(const exchange_result &exchanged) const
+{
+    if (exchanged.outcome == exchange_outcome::NotSent) {
+        return attempt_outcome::Unreachable;
+    }
+    if (exchanged.outcome == exchange_outcome::Lost) {
+        return attempt_outcome::Lost;
+    }
+    const http_message &response = exchanged.response;
+    if (response.status == Misdirected || response.find(platform_header::NotRun) != nullptr) {
+        return attempt_outcome::NotRun;
+    }
+    if (!isSuccess(response.status)) {
+        return attempt_outcome::TargetFailure;
+    }
+    const std::string *id = response.find(platform_header::RequestId);
+    const bool isMine = id != nullptr && *id == m_order.request->requestId();
+    const bool isWhole = response.find(platform_header::Signature) != nullptr && response.find("Content-Encoding") == nullptr;
+    return isMine && isWhole ? attempt_outcome::Success : attempt_outcome::Lost;
+}
+
+void target_attempt::updateHealth(attempt_outcome outcome, const exchange_result &exchanged, steady::time_point now)
+{
+    constexpr unsigned GatewayTimeout = 504;
+    constexpr unsigned ServerError = 500;
+    target_health &health = m_link->health;
+    const bool wasDropped = outcome == attempt_outcome::Lost && exchanged.wasReset && !exchanged.sawBytes;
+    // An idle connection that the target dropped says nothing about the target.
+    const bool wasStale = wasDropped && m_isReused;
+    // A target that has all the connections it accepts resets a new one.
+    const bool wasOverLimit = wasDropped && !m_isReused;
+    switch (outcome) {
+    case attempt_outcome::Success:
+        health.onAnswered(m_startedAt, now, m_order.typical);
+        break;
+    case attempt_outcome::TargetFailure:
+        if (exchanged.response.status >= ServerError && exchanged.response.status != GatewayTimeout) {
+            health.onFailed(m_startedAt, now);
+        } else {
+            health.onAbandoned(m_startedAt, now, m_order.typical);
+        }
+        break;
+    case attempt_outcome::NotRun:
+        if (exchanged.response.status == Misdirected) {
+            health.onFailed(m_startedAt, now);
+        } else {
+            health.onRefused(m_startedAt, now);
+        }
+        break;
+    case attempt_outcome::Unreachable:
+    case attempt_outcome::Lost:
+        if (wasStale) {
+            health.onAbandoned(m_startedAt, now, std::chrono::hours(1));
+        } else if (wasOverLimit) {
+            health.onRefused(m_startedAt, now);
+            m_link->noNewConnectionsUntil = now + ConnectionLimitPause;
+        } else {
+            health.onFailed(m_startedAt, now);
+        }
+        break;
+    }
+}
+
+void target_attempt::onExchanged(exchange_result exchanged)
+{
+    if (m_isOver) {
+        return;
+    }
+    const auto now = steady::now();
+    const attempt_outcome outcome = classify(exchanged);
+    updateHealth(outcome, exchanged, now);
+    m_context.reach.onSign(m_link->target.dataCentre, now);
+    if (outcome == attempt_outcome::Lost && exchanged.wasReset && !exchanged.sawBytes) {
+        m_context.crashes.onLost(m_link->target.id, *m_order.request, boot_clock::now());
+    }
+    m_context.numbers.add(std::string("attempts_total{outcome=\"").append(nameOf(outcome)).append("\"}"));
+    m_context.timers.stop(m_timer);
+    release(true);
+    attempt_result result;
+    result.outcome = outcome;
+    result.response = std::move(exchanged.response);
+    result.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - m_startedAt);
+    finish(std::move(result));
+}
+
+void target_attempt::release(bool keep)
+{
+    const auto connection = std::move(m_connection);
+    m_connection = nullptr;
+    if (!connection) {
+        return;
+    }
+    if (!keep || m_link->isRemoved || !connection->isReusable(steady::now())) {
+        connection->close();
+        --m_link->connections;
+        return;
+    }
+    keepIdle(m_link, connection);
+}
+
+void target_attempt::finish(attempt_result result)
+{
+    if (m_isOver) {
+        return;
+    }
+    m_isOver = true;
+    if (!m_wasSent) {
+        // Nothing was sent, so the target's health was updated by whoever found out; only the entry of the request is removed.
+        m_link->health.onAbandoned(m_startedAt, m_startedAt, m_order.typical);
+    }
+    const handler done = std::move(m_done);
+    m_done = nullptr;
+    if (done) {
+        done(std::move(result));
+    }
+}
+
+void target_attempt::abandon(bool callerLeft)
+{
+    if (m_isOver) {
+        return;
+    }
+    m_done = nullptr;
+    const auto now = steady::now();
+    if (callerLeft || !m_wasSent) {
+        m_isOver = true;
+        m_context.timers.stop(m_timer);
+        m_link->health.onAbandoned(m_startedAt, now, m_order.typical);
+        release(false);
+        return;
+    }
+    m_timer = m_context.timers.start(m_order.deadline + AbandonSlack, [self = shared_from_this()] {
+        self->m_timer = 0;
+        self->abandon(true);
+    });
+}
+
+} // namespace balsamhook
--- /dev/null
+++ b/node/target_link.cpp
@@ -0,0 +1,42 @@
+#include "node/target_link.h"
+
+#include <algorithm>
+
+namespace balsamhook
+{
+
+void keepIdle(const target_link_ptr &link, const std::shared_ptr<target_connection> &connection)
+{
+    connection->onIdleClose([link, raw = connection.get()] {
+        const auto found = std::find_if(link->idle.begin(), link->idle.end(), [raw](const auto &kept) { return kept.get() == raw; });
+        if (found != link->idle.end()) {
+            link->idle.erase(found);
+            --link->connections;
+        }
+    });
+    link->idle.push_back(connection);
+}
+
+void openKeptConnection(node_context &context, const target_link_ptr &link, std::chrono::milliseconds timeout, std::function<void(bool isOpen)> done)
+{
+    ++link->connections;
+    context.numbers.add("target_connections_opened_total");
+    const auto connection = std::make_shared<target_connection>(context.io, link->target.address, ResponseLimits);
+    const auto timer = std::make_shared<timer_queue::handle>(0);
+    const auto finish = [link, connection, done = std::move(done)](bool isOpen) {
+        if (isOpen && !link->isRemoved) {
+            keepIdle(link, connection);
+        } else {
+            connection->close();
+            --link->connections;
+        }
+        done(isOpen);
+    };
+    *timer = context.timers.start(std::chrono::steady_clock::now() + timeout, [finish] { finish(false); });
+    connection->open([&context, timer, finish](bool isOpen) {
+        context.timers.stop(*timer);
+        finish(isOpen);
+    });
+}
+
+} // namespace balsamhook
