Use nothing that was asked before an instance came to rest

Cause: a call to another instance, or a page of a list, that was under way when an instance stopped being a sender published its configuration afterwards; a late request would then have been routed by it. Change: each wait is followed by a check of the period of need. Figures: the new case of catalogue_sync_test fails without the check.

--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -34,6 +34,12 @@
 /// Calls that end this soon after they were dropped here say nothing about the store.
 constexpr std::chrono::milliseconds DropTime{50};
 
+/// What was asked before a change of need is not used.
+error outdated()
+{
+    return error{error_code::Closed, error_step::Store, {}, "no longer needed"};
+}
+
 } // namespace
 
 catalogue_sync::catalogue_sync(node_context &context, metadata_store &store, handlers callbacks)
@@ -64,6 +70,7 @@
         return;
     }
     m_isNeeded = isNeeded;
+    ++m_period;
     m_hasTargets = false;
     for (followed_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
         kind->isListed = false;
@@ -107,6 +114,7 @@
         } else {
             outcome = co_await readList(kind);
         }
+        // A call that was dropped here says nothing about the store.
         const bool wasDropped = !outcome && outcome.error().code == error_code::Closed && clock::now() - m_callsDroppedAt < DropTime;
         if (wasDropped) {
             continue;
@@ -194,8 +202,12 @@
     std::set<std::string> present;
     std::string after;
     std::uint64_t revision = 0;
+    const unsigned period = m_period;
     while (true) {
         const auto page = co_await m_store.list(kind.kind, after, read_mode::Current, std::max(kind.listTimeout, ShortestListTimeout));
+        if (period != m_period) {
+            co_return outdated();
+        }
         if (!page) {
             co_return page.error();
         }
@@ -219,7 +231,11 @@
 asio::awaitable<result<void>> catalogue_sync::watchOnce(followed_kind &kind)
 {
     // After a failure a short watch tells at once that the store is back; a long one would tell when something changes.
+    const unsigned period = m_period;
     const auto batch = co_await m_store.watch(kind.kind, kind.revision, kind.isReachable ? WatchTime : ProbeWatchTime);
+    if (period != m_period) {
+        co_return outdated();
+    }
     if (!batch) {
         co_return batch.error();
     }
@@ -409,9 +425,10 @@
     http_request request;
     request.path = "/internal/catalogue";
     request.query["version"] = std::to_string(m_version);
+    const unsigned period = m_period;
     const auto answered = co_await fetch(peer, {}, std::move(request), PeerTimeout);
     constexpr unsigned Ok = 200;
-    if (!answered || answered.value().status != Ok) {
+    if (period != m_period || !answered || answered.value().status != Ok) {
         co_return false;
     }
     const json body = json::parse(answered.value().body, nullptr, false);
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -105,6 +105,7 @@
     clock::time_point m_callsDroppedAt{};
     bool m_hasTargets = false;
     bool m_isNeeded = false;
+    unsigned m_period = 0; ///< Counts changes of need; what was asked in an earlier period is not used.
 };
 
 } // namespace balsamhook
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -273,6 +273,29 @@
     CHECK_MESSAGE(ignorant.snapshot(0).empty(), "second-hand knowledge isn't passed on");
 }
 
+TEST_CASE("catalogue_sync: what another instance answers after the need is gone is not used (guards against routing a late request by old knowledge)")
+{
+    sync_fixture fixture;
+    fixture.stand.put("config", "main", configurationSpec(4));
+    fixture.stand.setCondition(store_condition::Refusing);
+    bool wasAsked = false;
+    http_server server(fixture.io, {}, fixture.numbers, [&](http_request) -> boost::asio::awaitable<http_response> {
+        wasAsked = true;
+        co_await sleepFor(fixture.io, 200ms);
+        const json body{{"configuration", configurationSpec(5)}, {"targets", json::object()}, {"evacuations", json::array()}};
+        co_return jsonResponse(200, body.dump());
+    });
+    const endpoint internal{"127.0.0.1", 18213};
+    REQUIRE(server.listen(internal).has_value());
+    fixture.peers = {internal};
+    fixture.follow();
+    REQUIRE(fixture.runUntil([&] { return wasAsked; }));
+    fixture.sync->setNeeded(false);
+    fixture.runFor(400ms);
+    CHECK(fixture.configuration == nullptr);
+    CHECK_FALSE(fixture.sync->isReady());
+}
+
 TEST_CASE("catalogue_sync: at rest it makes no calls and knows nothing; needed again it reads anew (guards against stale knowledge)")
 {
     sync_fixture fixture;
