Refuse queries above what targets bear, at once

Ruled out: throttling while answers are late (tried before): one slow shard makes answers late as well, and refusing helps nobody then. The median of all parts tells queues at most targets from a few slow ones.

Change: routing/overload_guard bounds the queries that run on an instance while the median is twice the smallest one of the last minute; less urgent queries are refused first, returning callers last.

--- a/node/caller_request.cpp
+++ b/node/caller_request.cpp
@@ -20,6 +20,8 @@
         return "not_run_full";
     case request_outcome::NotRunCoverage:
         return "not_run_coverage";
+    case request_outcome::NotRunOverload:
+        return "not_run_overload";
     case request_outcome::Lost:
         return "lost";
     case request_outcome::TimedOut:
--- a/node/caller_request.h
+++ b/node/caller_request.h
@@ -22,6 +22,7 @@
     NotRunUnavailable, ///< Refused: no target can be used now.
     NotRunFull, ///< Refused: all targets have as much work as they may get.
     NotRunCoverage, ///< Refused: too few shards can be reached.
+    NotRunOverload, ///< Refused: the targets have more queries than they can answer in time.
     Lost, ///< A target got the request and brought no usable answer.
     TimedOut,
     CallerLeft,
@@ -56,6 +57,10 @@
 struct route_statistics
 {
     latency_window latency; ///< Of answers of single targets.
+    latency_baseline baseline;
+    std::uint64_t answers = 0; ///< Of targets.
+    std::uint64_t answersReviewed = 0;
+    std::chrono::milliseconds objective{0};
     std::chrono::milliseconds longestDeadline{0}; ///< Callers ask again with what is left of it.
 };
 
--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace balsamhook
 {
@@ -26,6 +27,11 @@
 constexpr std::chrono::milliseconds StartingRetryAfter{120};
 constexpr std::chrono::milliseconds StoreLostRetryAfter{1000};
 constexpr std::chrono::milliseconds StartingTime{1500};
+/// A query that comes with this much less time than its route's usual one is a second try.
+constexpr std::chrono::milliseconds ReturningSlack{60};
+/// Refused queries are told to come back after one to four times their objective.
+constexpr double RetrySpread = 3;
+constexpr std::uint64_t FewestAnswers = 32;
 constexpr std::size_t ReservedDescriptors = 1000; ///< For targets, the store, peers and files.
 constexpr std::size_t FewestConnections = 64;
 
@@ -117,6 +123,35 @@
 void caller_service::setConfiguration(std::shared_ptr<const routing_configuration> configuration)
 {
     m_configuration = std::move(configuration);
+    if (!m_configuration) {
+        return;
+    }
+    m_mostUrgentQuery = std::numeric_limits<unsigned>::max();
+    for (const route &known : m_configuration->routes()) {
+        if (std::holds_alternative<gather_destination>(known.destination)) {
+            m_mostUrgentQuery = std::min(m_mostUrgentQuery, known.priority);
+        }
+    }
+}
+
+void caller_service::reviewLoad()
+{
+    const auto now = clock::now();
+    bool isOverloaded = false;
+    for (auto &[name, statistics] : m_statistics) {
+        // The median of few answers, or of old ones, says nothing about the present load.
+        if (statistics.answers - statistics.answersReviewed < FewestAnswers) {
+            continue;
+        }
+        statistics.answersReviewed = statistics.answers;
+        statistics.baseline.observe(statistics.latency, now);
+        isOverloaded = isOverloaded || statistics.baseline.isOverloaded(statistics.objective);
+    }
+    const bool wasLimited = m_guard.isLimited();
+    m_guard.review(isOverloaded);
+    if (m_guard.isLimited() != wasLimited) {
+        m_context.log.write(event_class::Belief, event_line("callers", wasLimited ? "load_usual" : "overloaded").add("limit", m_guard.limit()), now);
+    }
 }
 
 void caller_service::onNeeded(std::function<void()> handler)
@@ -143,9 +178,40 @@
         answerItself(connection, refusal("targets crashed while they ran this request", refusedFor), "crashes_targets", request.outgoing->requestId());
         return;
     }
+    if (refuseOverload(connection, request, statistics)) {
+        return;
+    }
     run(connection, std::move(request), statistics);
 }
 
+bool caller_service::refuseOverload(const caller_connection::pointer &connection, const arrived_request &request, const route_statistics &statistics)
+{
+    if (!std::holds_alternative<gather_destination>(request.matched->destination)) {
+        return false;
+    }
+    const auto callerWaits = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - request.arrivedAt);
+    const bool isReturning = callerWaits + ReturningSlack < std::min(statistics.longestDeadline, request.matched->timeout);
+    if (m_guard.admits({request.matched->priority <= m_mostUrgentQuery, isReturning})) {
+        return false;
+    }
+    // Spread, so that those who come back don't come together.
+    const double waits = static_cast<double>(request.matched->objective.count()) * (1 + RetrySpread * m_context.draw());
+    const caller_response response = refusal("more queries than the targets can answer in time", std::chrono::milliseconds(static_cast<std::int64_t>(waits)));
+    m_context.numbers.add(std::string("requests_total{outcome=\"").append(nameOf(request_outcome::NotRunOverload)).append("\"}"));
+    m_context.log.write(event_class::Decision,
+                        event_line("callers", "refused")
+                            .add("id", request.outgoing->requestId())
+                            .add("why", nameOf(request_outcome::NotRunOverload))
+                            .add("limit", m_guard.limit())
+                            .add("returning", isReturning)
+                            .add("priority", request.matched->priority)
+                            .add("config", request.configuration->version())
+                            .add("status", response.status),
+                        clock::now());
+    connection->respond(response, m_leaving);
+    return true;
+}
+
 bool caller_service::refuseUnroutable(const caller_connection::pointer &connection, const http_message &message, const route *matched)
 {
     constexpr unsigned BadRequest = 400;
@@ -177,7 +243,9 @@
     // Until answers were seen, a target is taken to need an eighth of the objective.
     constexpr int FirstGuessDivisor = 8;
     const auto guess = std::chrono::duration_cast<std::chrono::microseconds>(matched.objective) / FirstGuessDivisor;
-    return m_statistics.try_emplace(matched.name, route_statistics{latency_window(guess), {}}).first->second;
+    route_statistics &statistics = m_statistics.try_emplace(matched.name, route_statistics{latency_window(guess)}).first->second;
+    statistics.objective = matched.objective;
+    return statistics;
 }
 
 arrived_request caller_service::arrive(const http_message &message, const route &matched, route_statistics &statistics) const
@@ -201,14 +269,16 @@
 
 void caller_service::run(const caller_connection::pointer &connection, arrived_request request, route_statistics &statistics)
 {
-    running_request running{request.outgoing->requestId(), request.matched->name, request.configuration->version(), request.arrivedAt, {}};
+    const bool isGather = std::holds_alternative<gather_destination>(request.matched->destination);
+    running_request running{request.outgoing->requestId(), request.matched->name, request.configuration->version(), isGather, request.arrivedAt, {}};
     const answer_handler done = [this, connection](request_outcome outcome, const caller_response &response) { answer(connection, outcome, response); };
     const auto start = [&](auto started) {
         running.cancel = [started] { started->cancel(); };
         m_running.insert_or_assign(connection.get(), std::move(running));
         started->start();
     };
-    if (std::holds_alternative<gather_destination>(request.matched->destination)) {
+    if (isGather) {
+        m_guard.onStart();
         start(std::make_shared<gather_request>(m_context, m_pool, statistics, std::move(request), done));
     } else {
         start(std::make_shared<forward_request>(m_context, m_pool, statistics, std::move(request), done));
@@ -240,6 +310,9 @@
 void caller_service::logEnd(const running_request &ended, request_outcome outcome, unsigned status)
 {
     const auto now = clock::now();
+    if (ended.isGather) {
+        m_guard.onEnd();
+    }
     const bool isRoutine = outcome == request_outcome::Complete;
     m_context.numbers.add(std::string("requests_total{outcome=\"").append(nameOf(outcome)).append("\"}"));
     countLatency(m_context.numbers, now - ended.arrivedAt);
--- a/node/caller_service.h
+++ b/node/caller_service.h
@@ -21,6 +21,9 @@
     /// Listens on the address of the settings.
     result<void> listen();
 
+    /// Adapts to the load; to be called a few times a second.
+    void reviewLoad();
+
     /// The configuration for requests that arrive from now on.
     void setConfiguration(std::shared_ptr<const routing_configuration> configuration);
 
@@ -44,6 +47,7 @@
         std::string id;
         std::string routeName;
         std::uint64_t configurationVersion = 0;
+        bool isGather = false;
         clock::time_point arrivedAt;
         std::function<void()> cancel;
     };
@@ -54,6 +58,7 @@
     void onGone(const caller_connection::pointer &connection);
     bool refuseUnroutable(const caller_connection::pointer &connection, const http_message &message, const route *matched);
     arrived_request arrive(const http_message &message, const route &matched, route_statistics &statistics) const;
+    bool refuseOverload(const caller_connection::pointer &connection, const arrived_request &request, const route_statistics &statistics);
     void run(const caller_connection::pointer &connection, arrived_request request, route_statistics &statistics);
     void answer(const caller_connection::pointer &connection, request_outcome outcome, const caller_response &response);
     void answerItself(const caller_connection::pointer &connection, const caller_response &response, std::string_view reason, std::string_view requestId);
@@ -67,6 +72,8 @@
     std::unordered_map<caller_connection *, caller_connection::pointer> m_connections;
     std::unordered_map<caller_connection *, running_request> m_running;
     std::unordered_map<std::string, route_statistics> m_statistics; ///< By name of the route.
+    overload_guard m_guard; ///< For queries to many shards.
+    unsigned m_mostUrgentQuery = 0; ///< Smallest priority of the configuration's queries.
     std::function<void()> m_onNeeded;
     clock::time_point m_startedAt = clock::now();
     bool m_leaving = false;
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -198,6 +198,7 @@
     }
     shard.isDone = true;
     m_statistics.latency.add(result.duration);
+    ++m_statistics.answers;
     m_signatures.push_back(*result.response.find(platform_header::Signature));
     m_records.add(result.response.body);
     abandonAttempts(shard, false);
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -262,6 +262,7 @@
     m_pool.setLimits(m_configuration, senders);
     const bool isCutOff = !m_catalogue.isStoreReached() && m_peers.senders().size() * 2 <= senders;
     m_pool.setSenders(m_peers.senders(), isCutOff && senders > 1);
+    m_callers.reviewLoad();
     m_reach.review(m_configuration.get(), now);
     m_peers.setStatus(ownStatus());
     constexpr std::chrono::seconds SettingsInterval{1};
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -9,6 +9,7 @@
 #include "routing/connection_share.h"
 #include "routing/data_centre_watch.h"
 #include "routing/latency_window.h"
+#include "routing/overload_guard.h"
 #include "routing/peer_table.h"
 #include "routing/replica_choice.h"
 #include "routing/retry_budget.h"
