--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -548,6 +548,34 @@
     CHECK(answered.answer->status == 200);
 }
 
+TEST_CASE("target_reach: the end of a connection is no sign of a data centre, an answer is (connections that timed out made a cut look healed)")
+{
+    for (const bool isAnswered : {false, true}) {
+        node_fixture fixture;
+        fake_target::pointer waiting;
+        http_message asked;
+        fake_target target(fixture.io, fixture.timers, "t0", [&](const fake_target::pointer &connection, const http_message &request) {
+            waiting = connection;
+            asked = request;
+        });
+        fixture.add(target.registration("s0"));
+        played_request played(fixture, forwardRoute(repeat_rule::NonIdempotent));
+        played.start();
+        REQUIRE(fixture.runUntil([&] { return waiting != nullptr; }));
+        for (int review = 0; review < 2; ++review) {
+            fixture.context.reach.review("dc1", data_centre_watch::FewestOverdue, steady::now() + 1s);
+        }
+        REQUIRE(fixture.context.reach.isSilent("dc1"));
+        if (isAnswered) {
+            answerSigned(waiting, asked, "sig", "body");
+        } else {
+            waiting->close();
+        }
+        REQUIRE(fixture.runUntil([&] { return played.answer.has_value(); }));
+        CHECK(fixture.context.reach.isSilent("dc1") == !isAnswered);
+    }
+}
+
 TEST_CASE("target_pool: connections are kept, bounded by the configuration and shared by the senders (guards against resets at the target's limit)")
 {
     node_fixture fixture;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -231,7 +231,10 @@
     const auto now = steady::now();
     const attempt_outcome outcome = classify(exchanged);
     updateHealth(outcome, exchanged, now);
-    m_context.reach.onSign(m_link->target.dataCentre, now);
+    // The end of a connection is no sign: it may come from this side's keep-alive during a cut.
+    if (exchanged.outcome == exchange_outcome::Answered) {
+        m_context.reach.onSign(m_link->target.dataCentre, now);
+    }
     if (outcome == attempt_outcome::Lost && exchanged.wasReset && !exchanged.sawBytes) {
         m_context.crashes.onLost(m_link->target.id, *m_order.request, boot_clock::now());
     }
--- a/routing/overload_test.cpp
+++ b/routing/overload_test.cpp
@@ -1,12 +1,11 @@
 #include <doctest/doctest.h>
 
 #include "routing/routing.h"
+#include "routing/routing_test_support.h"
 
 #include <algorithm>
 #include <array>
 #include <deque>
-#include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -50,21 +49,15 @@
     double shareInTime()
     {
         for (time_point at = Start; at < Start + Length;) {
-            schedule(at, [this] { arrive(); });
+            m_play.schedule(at, [this] { arrive(); });
             const bool isBurst = at >= Start + BurstFrom && at < Start + BurstUntil;
             const double mean = 1 / (isBurst ? BurstRate : UsualRate);
             at += std::chrono::duration_cast<time_point::duration>(std::chrono::duration<double>(std::exponential_distribution<double>(1 / mean)(m_random)));
         }
         for (time_point at = Start; at < Start + Length; at += ReviewInterval) {
-            schedule(at, [this] { review(); });
-        }
-        while (!m_events.empty()) {
-            const auto first = m_events.begin();
-            m_now = first->first;
-            const auto action = std::move(first->second);
-            m_events.erase(first);
-            action();
+            m_play.schedule(at, [this] { review(); });
         }
+        m_play.run();
         return static_cast<double>(m_inTime) / std::max(1, m_asked);
     }
 
@@ -99,15 +92,10 @@
         std::size_t busy = 0;
     };
 
-    void schedule(time_point at, std::function<void()> action)
-    {
-        m_events.emplace(at, std::move(action));
-    }
-
     void review()
     {
         for (sender &each : m_senders) {
-            each.baseline.observe(each.latency, m_now);
+            each.baseline.observe(each.latency, m_play.now());
             each.guard.review(each.baseline.isOverloaded(Objective));
         }
     }
@@ -116,8 +104,8 @@
     {
         const auto asked = std::make_shared<query>();
         asked->sender = m_next++ % Senders;
-        asked->arrivedAt = m_now;
-        asked->isCounted = m_now >= Start + BurstFrom && m_now < Start + BurstUntil;
+        asked->arrivedAt = m_play.now();
+        asked->isCounted = m_play.now() >= Start + BurstFrom && m_play.now() < Start + BurstUntil;
         m_asked += asked->isCounted ? 1 : 0;
         sender &taken = m_senders[asked->sender];
         if (m_isGuarded && !taken.guard.admits({})) {
@@ -127,7 +115,7 @@
         for (std::size_t shard = 0; shard < Shards; ++shard) {
             send(asked, shard);
         }
-        schedule(m_now + Deadline, [this, asked] { end(*asked); });
+        m_play.schedule(m_play.now() + Deadline, [this, asked] { end(*asked); });
     }
 
     void send(const std::shared_ptr<query> &asked, std::size_t shard)
@@ -140,21 +128,21 @@
             views[i].isLocal = true;
             views[i].hasRoom = views[i].health->hasCapacity();
         }
-        const replica_decision decision = chooseReplica(views, Work, m_now, std::uniform_real_distribution<double>(0, 1)(m_random));
+        const replica_decision decision = chooseReplica(views, Work, m_play.now(), std::uniform_real_distribution<double>(0, 1)(m_random));
         if (!decision.chosen || asked->isOver) {
             if (!asked->isOver) {
-                schedule(m_now + 6ms, [this, asked, shard] { send(asked, shard); });
+                m_play.schedule(m_play.now() + 6ms, [this, asked, shard] { send(asked, shard); });
             }
             return;
         }
         const std::size_t target = shard * 2 + *decision.chosen;
-        from.health[target].onSent(m_now);
+        from.health[target].onSent(m_play.now());
         if (m_replicas[target].queue.size() >= QueueLength) {
-            from.health[target].onRefused(m_now, m_now);
-            schedule(m_now + 6ms, [this, asked, shard] { send(asked, shard); });
+            from.health[target].onRefused(m_play.now(), m_play.now());
+            m_play.schedule(m_play.now() + 6ms, [this, asked, shard] { send(asked, shard); });
             return;
         }
-        m_replicas[target].queue.push_back({asked, target, m_now});
+        m_replicas[target].queue.push_back({asked, target, m_play.now()});
         startNext(target);
     }
 
@@ -166,7 +154,8 @@
             works.queue.pop_front();
             ++works.busy;
             const double jitter = std::uniform_real_distribution<double>(0.6, 1.4)(m_random);
-            schedule(m_now + std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(Work.count()) * jitter)), [this, next] { finish(next); });
+            m_play.schedule(m_play.now() + std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(Work.count()) * jitter)),
+                            [this, next] { finish(next); });
         }
     }
 
@@ -174,10 +163,10 @@
     {
         --m_replicas[ended.target].busy;
         sender &from = m_senders[ended.of->sender];
-        from.health[ended.target].onAnswered(ended.sentAt, m_now, from.latency.median());
-        from.latency.add(std::chrono::duration_cast<std::chrono::microseconds>(m_now - ended.sentAt));
+        from.health[ended.target].onAnswered(ended.sentAt, m_play.now(), from.latency.median());
+        from.latency.add(std::chrono::duration_cast<std::chrono::microseconds>(m_play.now() - ended.sentAt));
         if (++ended.of->parts == Shards && !ended.of->isOver) {
-            m_inTime += ended.of->isCounted && m_now <= ended.of->arrivedAt + Objective ? 1 : 0;
+            m_inTime += ended.of->isCounted && m_play.now() <= ended.of->arrivedAt + Objective ? 1 : 0;
             end(*ended.of);
         }
         startNext(ended.target);
@@ -192,11 +181,10 @@
     }
 
     bool m_isGuarded;
-    std::multimap<time_point, std::function<void()>> m_events;
+    event_play m_play{Start};
     std::array<sender, Senders> m_senders;
     std::array<replica, Shards * 2> m_replicas;
     std::mt19937 m_random{11};
-    time_point m_now = Start;
     std::size_t m_next = 0;
     int m_asked = 0;
     int m_inTime = 0;
--- a/routing/shard_load_test.cpp
+++ b/routing/shard_load_test.cpp
@@ -1,10 +1,11 @@
 #include <doctest/doctest.h>
 
 #include "routing/routing.h"
+#include "routing/routing_test_support.h"
 
+#include <array>
 #include <deque>
-#include <functional>
-#include <map>
+#include <memory>
 #include <random>
 
 using namespace balsamhook;
@@ -50,15 +51,9 @@
     double shareInTime()
     {
         for (time_point at = Start; at < Start + Length; at += ArrivalInterval) {
-            schedule(at, [this, at] { ask(at); });
-        }
-        while (!m_events.empty()) {
-            const auto first = m_events.begin();
-            m_now = first->first;
-            const auto action = std::move(first->second);
-            m_events.erase(first);
-            action();
+            m_play.schedule(at, [this, at] { ask(at); });
         }
+        m_play.run();
         return static_cast<double>(m_inTime) / std::max(1, m_counted);
     }
 
@@ -77,11 +72,6 @@
         std::size_t busy = 0;
     };
 
-    void schedule(time_point at, std::function<void()> action)
-    {
-        m_events.emplace(at, std::move(action));
-    }
-
     void ask(time_point arrivedAt)
     {
         const int sender = m_next++ % Senders;
@@ -90,7 +80,7 @@
         const auto isDone = std::make_shared<bool>(false);
         const auto used = send(sender, arrivedAt, -1, isDone);
         if (used >= 0) {
-            schedule(arrivedAt + 30ms, [this, sender, arrivedAt, used, isDone] {
+            m_play.schedule(arrivedAt + 30ms, [this, sender, arrivedAt, used, isDone] {
                 if (!*isDone) {
                     send(sender, arrivedAt, used, isDone);
                 }
@@ -108,20 +98,20 @@
             views[i].isTried = i == tried;
             views[i].hasRoom = !m_policy.limitsRequests || m_health[sender][i].hasCapacity();
         }
-        const replica_decision decision = chooseReplica(views, Work, m_now, std::uniform_real_distribution<double>(0, 1)(m_random));
+        const replica_decision decision = chooseReplica(views, Work, m_play.now(), std::uniform_real_distribution<double>(0, 1)(m_random));
         if (!decision.chosen) {
             return -1;
         }
-        shard_load load{decision.expected, std::chrono::duration_cast<std::chrono::microseconds>(arrivedAt + Objective - m_now), 0, 20, 0.89};
+        shard_load load{decision.expected, std::chrono::duration_cast<std::chrono::microseconds>(arrivedAt + Objective - m_play.now()), 0, 20, 0.89};
         if (m_policy.skipsLate && isShardSkipped(load)) {
             return -1;
         }
         const int chosen = static_cast<int>(*decision.chosen);
-        m_health[sender][chosen].onSent(m_now);
+        m_health[sender][chosen].onSent(m_play.now());
         replica &target = m_replicas[chosen];
-        const job sent{sender, m_now, arrivedAt, isDone};
+        const job sent{sender, m_play.now(), arrivedAt, isDone};
         if (target.queue.size() >= QueueLength) {
-            m_health[sender][chosen].onRefused(m_now, m_now);
+            m_health[sender][chosen].onRefused(m_play.now(), m_play.now());
             return -1;
         }
         target.queue.push_back(sent);
@@ -135,36 +125,35 @@
         while (target.busy < Slots && !target.queue.empty()) {
             const job next = target.queue.front();
             target.queue.pop_front();
-            if (m_now > next.sentAt + HandedDeadline) {
-                m_health[next.sender][index].onRefused(next.sentAt, m_now);
+            if (m_play.now() > next.sentAt + HandedDeadline) {
+                m_health[next.sender][index].onRefused(next.sentAt, m_play.now());
                 continue;
             }
             ++target.busy;
-            const double slowness = m_now < Start + SlowUntil ? 6 : 1 + static_cast<double>(target.queue.size()) / 4;
+            const double slowness = m_play.now() < Start + SlowUntil ? 6 : 1 + static_cast<double>(target.queue.size()) / 4;
             const double jitter = std::uniform_real_distribution<double>(0.6, 1.4)(m_random);
             const auto duration = std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(Work.count()) * slowness * jitter));
-            schedule(m_now + duration, [this, index, next] { finish(index, next); });
+            m_play.schedule(m_play.now() + duration, [this, index, next] { finish(index, next); });
         }
     }
 
     void finish(int index, const job &ended)
     {
         --m_replicas[index].busy;
-        m_health[ended.sender][index].onAnswered(ended.sentAt, m_now, Work);
+        m_health[ended.sender][index].onAnswered(ended.sentAt, m_play.now(), Work);
         if (!*ended.isDone) {
             *ended.isDone = true;
             const bool isCounted = ended.arrivedAt > Start + SlowUntil + 2s;
-            m_inTime += isCounted && m_now <= ended.arrivedAt + Objective ? 1 : 0;
+            m_inTime += isCounted && m_play.now() <= ended.arrivedAt + Objective ? 1 : 0;
         }
         startNext(index);
     }
 
     policy m_policy;
-    std::multimap<time_point, std::function<void()>> m_events;
+    event_play m_play{Start};
     std::array<std::vector<target_health>, Senders> m_health;
     std::array<replica, 2> m_replicas;
     std::mt19937 m_random{7};
-    time_point m_now = Start;
     int m_next = 0;
     int m_counted = 0;
     int m_inTime = 0;
