Read members' entries in one place; encode a heartbeat once a tick

Cause: the read-through found the address of a member's entry read twice. One of the two threw on an entry whose address is no string, or that is no object; the exception ended the whole read of the members unseen, so one foreign entry under an instance's name hid all others. Besides, a heartbeat was encoded anew for each of its receivers, and the clock was read for each replica that is weighed.

Ruled out: catching the exception; the entry can simply be read with care.

Change: addressIn() serves both readers; a datagram is encoded once for all receivers of a tick; the caller's time goes to connectionLimit().

Figures: the new case of peer_task_test fails without the change.

--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -30,6 +30,13 @@
 constexpr std::chrono::milliseconds FirstRetry{200};
 constexpr std::chrono::milliseconds LongestRetry{3000};
 
+/// Address in an instance's entry; empty when it can't be read.
+std::string addressIn(const store_object &entry)
+{
+    const auto address = entry.spec.find("address");
+    return address != entry.spec.end() && address->is_string() ? address->get<std::string>() : std::string();
+}
+
 } // namespace
 
 peer_task::peer_task(node_context &context, metadata_store &store, peer_times times)
@@ -162,6 +169,11 @@
 }
 
 void peer_task::sendTo(const std::string &address, bool withAddresses)
+{
+    sendDatagram(address, encode(withAddresses));
+}
+
+void peer_task::sendDatagram(const std::string &address, const std::string &datagram)
 {
     boost::system::error_code failed;
     const udp::endpoint peer(asio::ip::make_address(address, failed), m_context.settings.peerPort);
@@ -169,7 +181,7 @@
         return;
     }
     // A datagram that can't be sent now is like one that was lost: the next follows soon.
-    m_socket.send_to(asio::buffer(encode(withAddresses)), peer, 0, failed);
+    m_socket.send_to(asio::buffer(datagram), peer, 0, failed);
 }
 
 std::chrono::milliseconds peer_task::interval() const
@@ -186,6 +198,7 @@
     }
     m_standbyTurnAt = isStandbyDue ? now + StandbyInterval : m_standbyTurnAt;
     m_isStandbyTurn = !m_isStandbyTurn;
+    const std::string datagram = encode(false);
     std::set<std::string> unheard;
     for (const std::string &address : m_peers.addresses()) {
         unheard.insert(address);
@@ -194,7 +207,7 @@
         unheard.erase(peer.status.address);
         const bool isToSender = m_senders.count(peer.status.instance) > 0;
         if (isToSender || (isSender() && m_isStandbyTurn)) {
-            sendTo(peer.status.address, false);
+            sendDatagram(peer.status.address, datagram);
         }
     }
     // Addresses that never answered: seeds that are still starting, or instances that others mentioned.
@@ -359,7 +372,7 @@
         = std::find_if(registered.begin(), registered.end(), [this](const store_object &object) { return object.name == m_context.settings.instance; });
     noteOwnEntry(own == registered.end() ? nullptr : &*own);
     for (const store_object &object : registered) {
-        const auto address = object.spec.find("address");
+        const std::string address = addressIn(object);
         if (object.name == m_context.settings.instance) {
             continue;
         }
@@ -371,15 +384,15 @@
             m_context.log.write(event_class::Belief,
                                 event_line("peers", "member_removed").add("peer", object.name).add("result", removed ? "removed" : "failed"),
                                 clock::now());
-        } else if (address != object.spec.end() && address->is_string()) {
-            m_peers.learnAddress(address->get<std::string>(), clock::now());
+        } else if (!address.empty()) {
+            m_peers.learnAddress(address, clock::now());
         }
     }
 }
 
 void peer_task::noteOwnEntry(const store_object *own)
 {
-    const bool isSame = own != nullptr && own->spec.value("address", "") == m_context.settings.address;
+    const bool isSame = own != nullptr && addressIn(*own) == m_context.settings.address;
     const bool isFirstRead = clock::now() - m_startedAt < RegisterAfter;
     m_wasSender = m_wasSender || (isSame && isFirstRead);
     // Someone who did not hear this instance for long may have removed its entry.
@@ -403,8 +416,9 @@
     if (!hasChanged) {
         return;
     }
+    const std::string datagram = encode(false);
     for (const std::string &address : m_peers.addresses()) {
-        sendTo(address, false);
+        sendDatagram(address, datagram);
     }
 }
 
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -74,6 +74,7 @@
     std::set<std::string> sendersAmong(const std::vector<peer_table::peer> &peers) const;
     std::size_t mostSenders() const;
     void sendTo(const std::string &address, bool withAddresses);
+    void sendDatagram(const std::string &address, const std::string &datagram);
     std::string encode(bool withAddresses) const;
     std::chrono::milliseconds interval() const;
     void keepRegistered(clock::time_point now);
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -132,6 +132,20 @@
     CHECK(fixture.runUntil([&] { return names().count("i42") == 1; }, 3s));
 }
 
+TEST_CASE("peer_task: entries that can't be read are passed over, an own one is written anew (guards against entries of other writers)")
+{
+    peers_fixture fixture;
+    fixture.store.put("members", "i61", "text");
+    fixture.store.put("members", "i62", {{"address", 7}});
+    fixture.registerMember(63);
+    auto first = fixture.make(61, {});
+    auto other = fixture.make(63, {});
+    CHECK(fixture.runUntil([&] { return first->peersAlive() == 1; }, 2s));
+    CHECK(first->task->isSender());
+    const auto calls = fixture.store.calls();
+    CHECK_MESSAGE(fixture.runUntil([&] { return fixture.store.calls() >= calls + 2; }, 3s), "its registration was not written");
+}
+
 TEST_CASE("peer_task: a crash that one instance saw is known to the others (guards against a request that goes from instance to instance)")
 {
     peers_fixture fixture;
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -137,14 +137,14 @@
     return links;
 }
 
-unsigned target_pool::connectionLimit(const target_link &link) const
+unsigned target_pool::connectionLimit(const target_link &link, steady::time_point now) const
 {
     const service_settings *service = m_configuration ? m_configuration->findService(link.target.service) : nullptr;
     connection_demand demand;
     demand.connectionsOfTarget = service == nullptr ? 0 : service->maxConnections;
     demand.slots = link.target.slots;
     demand.senders = m_instances;
-    demand.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - m_startedAt);
+    demand.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt);
     return connectionShare(demand);
 }
 
@@ -186,7 +186,7 @@
     seen.isLocal = link.target.dataCentre == m_context.settings.dataCentre;
     seen.isLapsed = link.isLapsed;
     seen.isUnreachable = m_context.reach.isSilent(link.target.dataCentre);
-    const bool mayOpen = link.connections == 0 || (link.connections < connectionLimit(link) && now >= link.noNewConnectionsUntil);
+    const bool mayOpen = link.connections == 0 || (link.connections < connectionLimit(link, now) && now >= link.noNewConnectionsUntil);
     seen.hasRoom = link.health.hasCapacity() && (!link.idle.empty() || mayOpen);
     seen.warmupLeft = warmupLeft(link, now);
     if (seen.hasRoom && isColdLimitReached(link, now)) {
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -65,7 +65,7 @@
     std::size_t size() const;
 
 private:
-    unsigned connectionLimit(const target_link &link) const;
+    unsigned connectionLimit(const target_link &link, std::chrono::steady_clock::time_point now) const;
     std::chrono::milliseconds warmupLeft(const target_link &link, std::chrono::steady_clock::time_point now) const;
     double coldRate(const target_link &link, std::chrono::steady_clock::time_point now) const;
     bool isColdLimitReached(target_link &link, std::chrono::steady_clock::time_point now) const;
