--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,94 +1,101 @@
-"""An entry of another writer that can't be read keeps all instances from serving after a restart."""
+"""An instance that was frozen hands its outdated catalogue to the others during an outage of the store, and they go back to using an evacuated zone."""
 
 import asyncio
+import signal
 import sys
 import time
 
 sys.path.insert(0, __file__.rsplit("/", 2)[0])
 import standins as s
 
-ADDRESSES = ("127.77.2.1", "127.77.2.2")
-RECOVERY_S = 12  # RecoveryS of the settings.
-REQUESTS_PER_S = 20
-# The entry of a searcher of another service, by a writer that encodes the zone's name in ISO 8859-1: the byte E9 is no UTF-8.
-UNREADABLE_SPEC = (b'{"Service":"archive","Address":"127.0.0.1:9","Zone":"montr\xe9al-a","Version":"v1","Slots":2,"State":"ready",'
-                   b'"WarmupLeftMs":0,"Sequence":1,"born":1700000000000}')
+ADDRESSES = ("127.77.2.1", "127.77.2.2", "127.77.2.3")
+ZONES = ("zone-a", "zone-b", "zone-c")
+EVACUATED = "zone-a"
+WATCH_S = 10.0  # WaitMs of the instances' watches.
+FREEZE_BEFORE_WATCH_END_S = 1.5
+FREEZE_S = 4.0
+EVACUATION_AFTER_S = 1.8  # After the begin of the freeze, as are the next two.
+OUTAGE_AFTER_S = 2.0
+OUTAGE_S = 4.5
+CONTACT_S, EVACUATION_BOUND_S = 4.0, 5.0  # ContactMs and EvacuationMs of the settings.
+CHECKED_S = 6.0
+REQUESTS_PER_S = 40
 
 
-class Traffic:
-    """Sends requests at a steady rate, each from one of a few clients in turn; notes when each was sent and whether it was served."""
-
-    def __init__(self, record, instances):
-        self.clients = [s.Client(record, instances[i % len(instances)]) for i in range(8)]
-        self.results, self.is_over, self.count = [], False, 0
+async def send_requests(record, instances, is_over):
+    async def run_client(client, number):
+        count = 0
+        while not is_over.is_set():
+            count += 1
+            await client.request("GET", "/lookup/2f", f"lookup-{number}-{count}", 2000)
+            await asyncio.sleep(8 / REQUESTS_PER_S)
+        client.close()
 
-    async def run(self):
-        await asyncio.gather(*(self.run_client(client, i) for i, client in enumerate(self.clients)))
+    await asyncio.gather(*(run_client(s.Client(record, instances[i % len(instances)]), i) for i in range(8)))
 
-    async def run_client(self, client, number):
-        await asyncio.sleep(number / REQUESTS_PER_S)
-        while not self.is_over:
-            self.count += 1
-            sent_at = time.monotonic()
-            status = (await client.request("GET", "/lookup/2f", f"lookup-{self.count}", 2000))[0]
-            self.results.append((sent_at, status == 200))
-            await asyncio.sleep(len(self.clients) / REQUESTS_PER_S)
-        client.close()
 
-    def served_share(self, since, until):
-        served = [is_served for sent_at, is_served in self.results if since <= sent_at < until]
-        return sum(served) / max(1, len(served)), len(served)
+async def wait_for_watch_end(store, port):
+    """Waits until the watch of evacuations of the instance at this port of the store is about to end."""
+    while (port, "evacuations") not in store.watches_begun:
+        await asyncio.sleep(0.05)
+    begun = store.watches_begun[port, "evacuations"]
+    await asyncio.sleep(max(0.0, begun + WATCH_S - FREEZE_BEFORE_WATCH_END_S - time.monotonic()))
 
 
 async def play(record, folder, has_trouble):
     store = s.Store(record)
     await store.start()
-    routes = [("lookup", "/lookup/", {"RouteType": "idempotent", "Service": "ledger"})]
-    await store.put("config", "main", s.configuration(7, routes, ["ledger"]))
-    searchers = [s.Searcher(record, store, "ledger", f"i-ledger{i}", slots=4) for i in range(3)]
+    frozen_port = await store.listen()
+    await store.put("config", "main", s.configuration(7, [("lookup", "/lookup/", {"RouteType": "idempotent", "Service": "ledger"})], ["ledger"]))
+    searchers = [s.Searcher(record, store, "ledger", f"i-ledger{i}", zone=ZONES[i % 2], slots=4) for i in range(4)]
     ports = s.make_ports(ADDRESSES)
-    instances = [s.Instance(record, store, folder, f"front-{i + 1}", address, ports, ADDRESSES) for i, address in enumerate(ADDRESSES)]
-    traffic = Traffic(record, instances)
+    extras = [{}, {}, {"platform.Address": f"{store.address}:{frozen_port}"}]
+    instances = [s.Instance(record, store, folder, f"front-{i + 1}", ADDRESSES[i], ports, ADDRESSES, zone=ZONES[i], extra=extras[i]) for i in range(3)]
+    is_over = asyncio.Event()
     try:
         for searcher in searchers:
             await searcher.start()
         for instance in instances:
             instance.start()
         await s.wait_until_ready(instances)
-        await asyncio.sleep(2)
-        started_at = time.monotonic()
-        task = asyncio.create_task(traffic.run())
-        await asyncio.sleep(3)
+        await asyncio.sleep(CONTACT_S)
+        traffic = asyncio.create_task(send_requests(record, instances[:2], is_over))
+        await wait_for_watch_end(store, frozen_port)
+        frozen_at = time.monotonic()
         if has_trouble:
-            record.write("another writer puts servers/i-foreign, which holds a byte that is no UTF-8")
-            await store.put("servers", "i-foreign", UNREADABLE_SPEC)
-        await asyncio.sleep(2)
-        # The final fault comes right after a configuration was acknowledged.
-        await store.put("config", "main", s.configuration(9, routes, ["ledger"]))
-        killed_at = time.monotonic()
-        for instance in instances:
-            instance.kill()
-        await asyncio.sleep(0.5)
-        for instance in instances:
-            instance.start()
+            instances[2].signal(signal.SIGSTOP)
+        await asyncio.sleep(EVACUATION_AFTER_S)
+        await store.put("evacuations", EVACUATED, {})
+        evacuated_at = time.monotonic()
+        record.write(f"operator puts evacuations/{EVACUATED}, acknowledged")
+        await asyncio.sleep(frozen_at + OUTAGE_AFTER_S - time.monotonic())
+        store.is_silent = has_trouble
+        record.write(f"store is silent: {has_trouble}")
+        await asyncio.sleep(frozen_at + FREEZE_S - time.monotonic())
+        if has_trouble:
+            instances[2].signal(signal.SIGCONT)
+        await asyncio.sleep(frozen_at + OUTAGE_AFTER_S + OUTAGE_S - time.monotonic())
+        store.is_silent = False
         back_at = time.monotonic()
-        await asyncio.sleep(RECOVERY_S + 6)
-        ready = [await instance.is_ready() for instance in instances]
-        traffic.is_over = True
-        await task
+        record.write("store answers")
+        await asyncio.sleep(CONTACT_S + CHECKED_S)
+        checked_until = time.monotonic()
+        is_over.set()
+        await traffic
     finally:
         for instance in instances:
             instance.kill()
         for searcher in searchers:
             searcher.stop()
         store.stop()
-    before, before_count = traffic.served_share(started_at, killed_at)
-    after, after_count = traffic.served_share(back_at + RECOVERY_S, float("inf"))
-    record.write(f"summary: served before the kill {before:.3f} of {before_count}; sent later than {RECOVERY_S} s after the restart {after:.3f} of {after_count}")
-    record.write(f"summary: ready at the end: {ready}; the store and all {len(searchers)} searchers were up all the time")
-    if before < 0.25 or after_count == 0:
-        raise s.CannotRun("too little was served before the kill")
-    return after >= 0.25
+    since = max(evacuated_at + EVACUATION_BOUND_S, back_at + CONTACT_S)
+    late = [at for searcher in searchers if searcher.zone == EVACUATED for at, _ in searcher.runs if since < at < checked_until]
+    runs = sum(1 for searcher in searchers for at, _ in searcher.runs if since < at < checked_until)
+    before = sum(1 for searcher in searchers if searcher.zone == EVACUATED for at, _ in searcher.runs if at < evacuated_at)
+    record.write(f"summary: {EVACUATED} ran {before} requests before the evacuation; later than {since - evacuated_at:.1f} s after it {len(late)} of {runs}")
+    if runs == 0 or before == 0:
+        raise s.CannotRun("no requests were run")
+    return not late
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -86,14 +86,22 @@
         self.record, self.address = record, address
         self.objects, self.events, self.revision = {}, [], 100
         self.changed = asyncio.Condition()
-        self.server = None
+        self.is_silent = False  # Reads calls and never answers them.
+        self.watches_begun = {}  # By port and kind: when the last watch began.
+        self.servers = []
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.address, 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = await self.listen()
+
+    async def listen(self):
+        """Opens a further port and returns it, so that the calls of one instance can be told from those of the others."""
+        server = await asyncio.start_server(self.serve, self.address, 0)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[1]
 
     def stop(self):
-        self.server.close()
+        for server in self.servers:
+            server.close()
 
     async def put(self, kind, name, spec):
         """Writes an object. spec is a JSON value, or bytes that are stored as they are in its place."""
@@ -121,7 +129,13 @@
     async def serve(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
-                status, body = await self.handle(*message)
+                self.note_watch(writer, message[0])
+                status, body = (0, b"") if self.is_silent else await self.handle(*message)
+                if self.is_silent or status == 0:
+                    # A connection on which a response is lost returns nothing further.
+                    while await reader.read(65536):
+                        pass
+                    break
                 writer.write(response_bytes(status, [("Content-Type", "application/json")], body))
                 await writer.drain()
         except ConnectionError:
@@ -129,6 +143,11 @@
         finally:
             writer.close()
 
+    def note_watch(self, writer, first_line):
+        found = re.match(r"GET /v1/objects/(\w+)\?.*Watch=", first_line)
+        if found:
+            self.watches_begun[writer.get_extra_info("sockname")[1], found.group(1)] = time.monotonic()
+
     async def handle(self, first_line, _, body):
         method, target, _ = first_line.split(" ")
         url = urllib.parse.urlsplit(target)
