--- a/review/tmp/run.py
+++ b/review/4/run.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, __file__.rsplit("/", 2)[0])
 import standins as s
 
-ADDRESSES = ("127.77.3.1", "127.77.3.2")
+ADDRESSES = ("127.77.4.1", "127.77.4.2")
 ROLL_GAP_S = 1.0  # roll_term stops one machine after the other with this pause.
 RESTART_DELAY_S = 0.5  # After the end of a process.
 GRACE_S = 6  # GraceS of the settings.
