--- a/review/standins.py
+++ b/review/standins.py
@@ -416,9 +416,9 @@
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
 
 
-def main(case_file, play):
-    """Plays a case. play(record, folder, has_trouble) returns whether the rule was kept. Exits with 0 (kept), 1 (broken) or 2 (could not run)."""
-    record = Record(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"))
+def main(record_file, play):
+    """Plays a case and writes the record to record_file. play(record, folder, has_trouble) returns whether the rule was kept. Exits with 0 (kept), 1 (broken) or 2 (could not run)."""
+    record = Record(record_file)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"start, disruption {'on' if has_trouble else 'off'}")
     try:
