Log what becomes of a lost connection as evidence of a crash

The log couldn't tell whether crashes were not noticed or their evidence was dropped. Change: loss_recorded, loss_discarded with a reason, and a counter; no decision changes.

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -33,10 +33,20 @@
 void crash_tracker::onConnectionLost(const std::string &targetId, const outgoing_request &request, time_point now)
 {
     std::vector<lost_request> &lost = m_lostRequests[targetId];
-    std::erase_if(lost, [now](const lost_request &entry) { return now - entry.at > CrashDetectionWindow; });
-    if (lost.size() < MaxLostPerTarget) {
-        lost.push_back({request.fingerprint(), request.requestId(), now});
+    std::erase_if(lost, [&](const lost_request &entry) {
+        const bool isTooOld = now - entry.at > CrashDetectionWindow;
+        if (isTooOld) {
+            logDiscarded(targetId, entry, "too_old");
+        }
+        return isTooOld;
+    });
+    if (lost.size() >= MaxLostPerTarget) {
+        return;
     }
+    lost.push_back({request.fingerprint(), request.requestId(), now});
+    m_log.write(event_class::Decision,
+                event_line("targets", "loss_recorded").add("id", request.requestId()).add("target", targetId).add("fingerprint", lost.back().fingerprint),
+                event_log::clock::now());
 }
 
 void crash_tracker::onTargetDown(const std::string &targetId, time_point now)
@@ -50,6 +60,7 @@
     std::erase_if(m_localCrashes, [now](const local_crash &entry) { return now - entry.at > AnnouncePeriod; });
     for (const lost_request &entry : lost) {
         if (now - entry.at > CrashDetectionWindow) {
+            logDiscarded(targetId, entry, "too_old");
             continue;
         }
         m_metrics.add("requests_at_crash_total");
@@ -67,7 +78,31 @@
 
 void crash_tracker::onTargetRemoved(const std::string &targetId)
 {
-    m_lostRequests.erase(targetId);
+    discard(targetId, "target_removed");
+}
+
+void crash_tracker::discard(const std::string &targetId, std::string_view reason)
+{
+    const auto found = m_lostRequests.find(targetId);
+    if (found == m_lostRequests.end()) {
+        return;
+    }
+    for (const lost_request &entry : found->second) {
+        logDiscarded(targetId, entry, reason);
+    }
+    m_lostRequests.erase(found);
+}
+
+void crash_tracker::logDiscarded(const std::string &targetId, const lost_request &entry, std::string_view reason)
+{
+    m_metrics.add(std::string("losses_discarded_total{reason=\"").append(reason).append("\"}"));
+    m_log.write(event_class::Decision,
+                event_line("targets", "loss_discarded")
+                    .add("id", entry.requestId)
+                    .add("target", targetId)
+                    .add("fingerprint", entry.fingerprint)
+                    .add("reason", reason),
+                event_log::clock::now());
 }
 
 void crash_tracker::merge(const std::vector<peer_crash> &crashes, time_point now)
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -56,6 +57,9 @@
         time_point at;
     };
 
+    void discard(const std::string &targetId, std::string_view reason);
+    void logDiscarded(const std::string &targetId, const lost_request &entry, std::string_view reason);
+
     event_log &m_log;
     counters &m_metrics;
     quarantine m_quarantine;
