Check whether a target still runs after a connection ended without a response

Cause: a loss counted as a crash only if the same instance happened to connect to the same target within 3 s. With many instances, or little traffic, none does. Ruled out: the retry budget (no arrivals over it), lost announcements (nothing was attributed that could be announced). Change: 50 ms after a loss an open idle connection shows that the target runs; otherwise one connection is attempted: refused is a crash, accepted is none, and the connection is kept for later requests. A time-out decides nothing. Test: failed before (no refusal within 2 s; losses by resets stayed undecided).

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -76,6 +76,16 @@
     }
 }
 
+void crash_tracker::onTargetAlive(const std::string &targetId)
+{
+    discard(targetId, "target_alive");
+}
+
+bool crash_tracker::hasLosses(const std::string &targetId) const
+{
+    return m_lostRequests.count(targetId) > 0;
+}
+
 void crash_tracker::onTargetRemoved(const std::string &targetId)
 {
     discard(targetId, "target_removed");
@@ -96,13 +106,10 @@
 void crash_tracker::logDiscarded(const std::string &targetId, const lost_request &entry, std::string_view reason)
 {
     m_metrics.add(std::string("losses_discarded_total{reason=\"").append(reason).append("\"}"));
-    m_log.write(event_class::Decision,
-                event_line("targets", "loss_discarded")
-                    .add("id", entry.requestId)
-                    .add("target", targetId)
-                    .add("fingerprint", entry.fingerprint)
-                    .add("reason", reason),
-                event_log::clock::now());
+    m_log.write(
+        event_class::Decision,
+        event_line("targets", "loss_discarded").add("id", entry.requestId).add("target", targetId).add("fingerprint", entry.fingerprint).add("reason", reason),
+        event_log::clock::now());
 }
 
 void crash_tracker::merge(const std::vector<peer_crash> &crashes, time_point now)
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -31,6 +31,12 @@
     /// To be called when the target accepts no connections or has restarted. Attributes a crash to the requests that were lost there shortly before.
     void onTargetDown(const std::string &targetId, time_point now);
 
+    /// To be called when the target turned out to run after the losses recorded there: they have another cause, and are discarded.
+    void onTargetAlive(const std::string &targetId);
+
+    /// True if requests were lost at the target and it is still open whether it crashed.
+    bool hasLosses(const std::string &targetId) const;
+
     /// Discards the requests that were lost at the target.
     void onTargetRemoved(const std::string &targetId);
 
--- a/node/node_test_support.h
+++ b/node/node_test_support.h
@@ -26,11 +26,18 @@
         , m_acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0})
         , m_id(std::move(id))
         , m_handler(std::move(requestHandler))
+        , m_port(m_acceptor.local_endpoint().port())
     {
         accept();
     }
 
     ~fake_target()
+    {
+        crash();
+    }
+
+    /// Ends all connections and accepts no further ones.
+    void crash()
     {
         m_acceptor.close();
         const std::set<pointer> open = m_open;
@@ -44,7 +51,7 @@
         registered_target target;
         target.id = m_id;
         target.service = service;
-        target.address = {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        target.address = {"127.0.0.1", m_port};
         target.dataCentre = "dc1";
         target.slots = 2;
         return target;
@@ -79,6 +86,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_id;
     handler m_handler;
+    std::uint16_t m_port;
     std::set<pointer> m_open;
 };
 
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -377,6 +377,50 @@
     }
 }
 
+TEST_CASE("forward_request: a target that crashes is noticed without further requests to it (guards against passing a crashing request on again and again)")
+{
+    node_fixture fixture;
+    std::vector<std::unique_ptr<fake_target>> targets;
+    for (int i = 0; i < 4; ++i) {
+        const auto number = static_cast<std::size_t>(i);
+        targets.push_back(std::make_unique<fake_target>(
+            fixture.io, fixture.timers, "t" + std::to_string(i), [&targets, number](const fake_target::pointer &, const http_message &) {
+                targets[number]->crash();
+            }));
+        fixture.add(targets.back()->registration("s0"));
+    }
+    for (const std::string id : {"r1", "r2"}) {
+        http_message message = requestMessage();
+        message.fields[1].value = id;
+        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent), message);
+        request.run();
+        CHECK(request.outcome == request_outcome::Lost);
+    }
+    const outgoing_request again(requestMessage());
+    CHECK(fixture.runUntil([&] { return fixture.context.crashes.refusedFor(again, boot_clock::now()).count() > 0; }, 2s));
+}
+
+TEST_CASE("forward_request: a target that only resets connections is not taken for a crashed one (guards against refusing requests after resets)")
+{
+    node_fixture fixture;
+    std::vector<std::unique_ptr<fake_target>> targets;
+    for (int i = 0; i < 4; ++i) {
+        targets.push_back(std::make_unique<fake_target>(fixture.io, fixture.timers, "t" + std::to_string(i), closeConnection));
+        fixture.add(targets.back()->registration("s0"));
+    }
+    for (const std::string id : {"r1", "r2"}) {
+        http_message message = requestMessage();
+        message.fields[1].value = id;
+        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent), message);
+        request.run();
+    }
+    fixture.runFor(300ms);
+    for (int i = 0; i < 4; ++i) {
+        CHECK_FALSE(fixture.context.crashes.hasLosses("t" + std::to_string(i)));
+    }
+    CHECK(fixture.context.crashes.recentCrashes(boot_clock::now()).empty());
+}
+
 TEST_CASE("forward_request: retries on another target when one did not run the request (guards against refusals while other targets are free)")
 {
     for (const unsigned status : {503U, 421U, 429U}) {
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -1,5 +1,6 @@
 #include "node/target_attempt.h"
 
+#include "node/target_liveness.h"
 #include "platform/platform.h"
 
 #include <algorithm>
@@ -238,6 +239,7 @@
     }
     if (outcome == attempt_outcome::Lost && exchanged.wasDisconnected && !exchanged.hasReceivedBytes) {
         m_context.crashes.onConnectionLost(m_link->target.id, *m_options.request, boot_clock::now());
+        checkLiveness(m_context, m_link);
     }
     m_context.metrics.add(std::string("attempts_total{outcome=\"").append(nameOf(outcome)).append("\"}"));
     m_context.timers.stop(m_timer);
--- a/node/target_link.cpp
+++ b/node/target_link.cpp
@@ -17,25 +17,28 @@
     link->idle.push_back(connection);
 }
 
-void openIdleConnection(node_context &context, const target_link_ptr &link, std::chrono::milliseconds timeout, std::function<void(bool isOpen)> done)
+void openIdleConnection(node_context &context,
+                        const target_link_ptr &link,
+                        std::chrono::milliseconds timeout,
+                        std::function<void(connect_outcome outcome)> done)
 {
     ++link->connections;
     context.metrics.add("target_connections_opened_total");
     const auto connection = std::make_shared<target_connection>(context.io, link->target.address, ResponseLimits);
     const auto timer = std::make_shared<timer_queue::handle>(0);
-    const auto finish = [link, connection, done = std::move(done)](bool isOpen) {
-        if (isOpen && !link->isRemoved) {
+    const auto finish = [link, connection, done = std::move(done)](connect_outcome outcome) {
+        if (outcome == connect_outcome::Open && !link->isRemoved) {
             addIdleConnection(link, connection);
         } else {
             connection->close();
             --link->connections;
         }
-        done(isOpen);
+        done(outcome);
     };
-    *timer = context.timers.start(std::chrono::steady_clock::now() + timeout, [finish] { finish(false); });
+    *timer = context.timers.start(std::chrono::steady_clock::now() + timeout, [finish] { finish(connect_outcome::TimedOut); });
     connection->open([&context, timer, finish](bool isOpen) {
         context.timers.stop(*timer);
-        finish(isOpen);
+        finish(isOpen ? connect_outcome::Open : connect_outcome::Refused);
     });
 }
 
--- a/node/target_link.h
+++ b/node/target_link.h
@@ -5,6 +5,7 @@
 #include "node/node_context.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -17,6 +18,7 @@
 {
     registered_target target;
     bool isStale = false; ///< Its registration has disappeared; used as last choice for a grace period.
+    bool isLivenessCheckPending = false;
     bool isRemoved = false; ///< Removed from the pool; its connections are closed after their exchange.
     target_health health;
     cold_start_limiter coldStartLimiter;
@@ -34,8 +36,17 @@
 /// Keeps an idle connection for later requests to the target.
 void addIdleConnection(const target_link_ptr &link, const std::shared_ptr<target_connection> &connection);
 
-/// Opens a connection to a target and keeps it for later requests. Calls the handler once from the event loop, with false if the connection could not be
-/// opened within the timeout. Precondition: context outlives the call of the handler.
-void openIdleConnection(node_context &context, const target_link_ptr &link, std::chrono::milliseconds timeout, std::function<void(bool isOpen)> done);
+enum class connect_outcome : std::uint8_t {
+    Open,
+    Refused, ///< Nobody listens at the target's address, or the address is unreachable.
+    TimedOut,
+};
+
+/// Opens a connection to a target and keeps it for later requests. Calls the handler once from the event loop. Precondition: context outlives the call of
+/// the handler.
+void openIdleConnection(node_context &context,
+                        const target_link_ptr &link,
+                        std::chrono::milliseconds timeout,
+                        std::function<void(connect_outcome outcome)> done);
 
 } // namespace balsamhook
--- a/node/target_reachability.cpp
+++ b/node/target_reachability.cpp
@@ -75,9 +75,9 @@
 {
     const std::string dataCentre = link->target.dataCentre;
     m_probing.insert(dataCentre);
-    openIdleConnection(m_context, link, ProbeTimeout, [this, dataCentre](bool isOpen) {
+    openIdleConnection(m_context, link, ProbeTimeout, [this, dataCentre](connect_outcome outcome) {
         m_probing.erase(dataCentre);
-        if (isOpen) {
+        if (outcome == connect_outcome::Open) {
             m_context.dataCentres.onActivity(dataCentre, clock::now());
             m_context.log.write(event_class::StateChange, event_line("targets", "data_centre_reachable").add("data_centre", dataCentre), clock::now());
         }
