Keep the evidence of a crash when the target's registration expires

Cause: removing a target discarded the requests that were lost there, although the removal of a registration without notice is what a crash looks like: the target comes back under another id. Change: a target that was not draining and whose registration expires has crashed at the losses of the last three heartbeats and 2 s. As a cut-off data centre also lets registrations expire, only connections that the target itself closed or reset count as losses; those that ended by a timeout of the network don't. Test: failed before (no crash attributed).

--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -28,6 +28,11 @@
     return std::chrono::seconds(std::atoi(value->c_str() + position + Parameter.size()));
 }
 
+bool isClosedByPeer(const boost::system::error_code &error)
+{
+    return error == asio::error::eof || error == asio::error::connection_reset || error == asio::error::broken_pipe;
+}
+
 } // namespace
 
 target_connection::target_connection(asio::io_context &context, endpoint peer, message_reader::limits limits)
@@ -155,7 +160,7 @@
         boost::system::error_code failed;
         data.remove_prefix(m_reader.feed(data, failed));
         if (failed) {
-            finish({exchange_outcome::Lost, {}, false, true});
+            finish({exchange_outcome::Lost, {}, false, false, true});
             return;
         }
         if (!m_reader.isDone()) {
@@ -180,7 +185,7 @@
     }
     m_idleTimeout = idleTimeoutOf(response);
     m_canReuse = response.keepAlive && !hasTrailingBytes && m_written == m_outgoing.size();
-    finish({exchange_outcome::Completed, std::move(response), false, true});
+    finish({exchange_outcome::Completed, std::move(response), false, false, true});
     return true;
 }
 
@@ -210,7 +215,7 @@
         }
     }
     const bool hasReceivedBytes = m_reader.hasStarted();
-    finish({m_written > 0 ? exchange_outcome::Lost : exchange_outcome::NotSent, {}, true, hasReceivedBytes});
+    finish({m_written > 0 ? exchange_outcome::Lost : exchange_outcome::NotSent, {}, true, isClosedByPeer(failed), hasReceivedBytes});
 }
 
 void target_connection::finish(exchange_result result)
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -26,6 +26,7 @@
     exchange_outcome outcome = exchange_outcome::NotSent;
     http_message response; ///< Valid if the outcome is Completed.
     bool wasDisconnected = false; ///< The exchange failed because the connection ended, not because of a malformed response.
+    bool wasClosedByTarget = false; ///< The target closed or reset the connection; false when it ended by a timeout of the network.
     bool hasReceivedBytes = false; ///< At least part of a response was received.
 };
 
--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -10,6 +10,8 @@
 
 /// A target that is found to be down within this time after a connection ended is taken to have crashed at that moment.
 constexpr std::chrono::seconds CrashDetectionWindow{3};
+/// Exceeds the time after which the registration of a target that crashed expires.
+constexpr std::chrono::seconds MaxLossAge{15};
 /// Each heartbeat announces a crash for this long, so that peers receive it although datagrams are lost.
 constexpr std::chrono::seconds AnnouncePeriod{10};
 constexpr std::chrono::minutes RefusalPeriod{1};
@@ -34,7 +36,7 @@
 {
     std::vector<lost_request> &lost = m_lostRequests[targetId];
     std::erase_if(lost, [&](const lost_request &entry) {
-        const bool isTooOld = now - entry.at > CrashDetectionWindow;
+        const bool isTooOld = now - entry.at > MaxLossAge;
         if (isTooOld) {
             logDiscarded(targetId, entry, "too_old");
         }
@@ -50,6 +52,11 @@
 }
 
 void crash_tracker::onTargetDown(const std::string &targetId, time_point now)
+{
+    attributeCrash(targetId, CrashDetectionWindow, now);
+}
+
+void crash_tracker::attributeCrash(const std::string &targetId, std::chrono::milliseconds maxAge, time_point now)
 {
     const auto found = m_lostRequests.find(targetId);
     if (found == m_lostRequests.end()) {
@@ -59,23 +66,28 @@
     m_lostRequests.erase(found);
     std::erase_if(m_localCrashes, [now](const local_crash &entry) { return now - entry.at > AnnouncePeriod; });
     for (const lost_request &entry : lost) {
-        if (now - entry.at > CrashDetectionWindow) {
+        if (now - entry.at > maxAge) {
             logDiscarded(targetId, entry, "too_old");
-            continue;
+        } else {
+            recordCrash(targetId, entry, now);
         }
-        m_metrics.add("requests_at_crash_total");
-        m_quarantine.recordCrash(entry.fingerprint, targetId, now, entry.requestId);
-        m_localCrashes.push_back({{entry.fingerprint, targetId, entry.requestId}, now});
-        m_log.write(event_class::Decision,
-                    event_line("targets", "crash_attributed")
-                        .add("id", entry.requestId)
-                        .add("target", targetId)
-                        .add("fingerprint", entry.fingerprint)
-                        .add("refused_ms", m_quarantine.refusedFor(entry.fingerprint, now).count()),
-                    event_log::clock::now());
     }
 }
 
+void crash_tracker::recordCrash(const std::string &targetId, const lost_request &entry, time_point now)
+{
+    m_metrics.add("requests_at_crash_total");
+    m_quarantine.recordCrash(entry.fingerprint, targetId, now, entry.requestId);
+    m_localCrashes.push_back({{entry.fingerprint, targetId, entry.requestId}, now});
+    m_log.write(event_class::Decision,
+                event_line("targets", "crash_attributed")
+                    .add("id", entry.requestId)
+                    .add("target", targetId)
+                    .add("fingerprint", entry.fingerprint)
+                    .add("refused_ms", m_quarantine.refusedFor(entry.fingerprint, now).count()),
+                event_log::clock::now());
+}
+
 void crash_tracker::onTargetAlive(const std::string &targetId)
 {
     discard(targetId, "target_alive");
@@ -86,9 +98,14 @@
     return m_lostRequests.count(targetId) > 0;
 }
 
-void crash_tracker::onTargetRemoved(const std::string &targetId)
+void crash_tracker::onTargetExpired(const std::string &targetId, std::chrono::milliseconds lapse, time_point now)
+{
+    attributeCrash(targetId, lapse, now);
+}
+
+void crash_tracker::onTargetLeft(const std::string &targetId)
 {
-    discard(targetId, "target_removed");
+    discard(targetId, "target_left");
 }
 
 void crash_tracker::discard(const std::string &targetId, std::string_view reason)
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -37,8 +37,12 @@
     /// True if requests were lost at the target and it is still open whether it crashed.
     bool hasLosses(const std::string &targetId) const;
 
-    /// Discards the requests that were lost at the target.
-    void onTargetRemoved(const std::string &targetId);
+    /// To be called when the target's registration disappeared without notice. Attributes a crash to the requests that were lost there within the lapse, the
+    /// time that a registration outlives its target.
+    void onTargetExpired(const std::string &targetId, std::chrono::milliseconds lapse, time_point now);
+
+    /// To be called when the target has left as announced. Discards the requests that were lost there.
+    void onTargetLeft(const std::string &targetId);
 
     /// Records crashes that a peer announced.
     void merge(const std::vector<peer_crash> &crashes, time_point now);
@@ -63,6 +67,8 @@
         time_point at;
     };
 
+    void attributeCrash(const std::string &targetId, std::chrono::milliseconds maxAge, time_point now);
+    void recordCrash(const std::string &targetId, const lost_request &entry, time_point now);
     void discard(const std::string &targetId, std::string_view reason);
     void logDiscarded(const std::string &targetId, const lost_request &entry, std::string_view reason);
 
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -488,6 +488,26 @@
     CHECK(std::stoi(*stuck.received[0].find("Deadline-Ms")) <= 600);
 }
 
+TEST_CASE("target_pool: the registration of a target that expires after a loss is evidence of a crash (guards against evidence that is dropped at removal)")
+{
+    node_fixture fixture;
+    const auto loseAndRemove = [&](const std::string &id, target_condition condition) {
+        registered_target target;
+        target.id = id;
+        target.service = "s0";
+        target.condition = condition;
+        fixture.add(target);
+        fixture.context.crashes.onConnectionLost(id, outgoing_request(requestMessage()), boot_clock::now() - 4s);
+        fixture.pool.remove(id);
+    };
+    loseAndRemove("t0", target_condition::Draining);
+    CHECK_MESSAGE(fixture.context.crashes.recentCrashes(boot_clock::now()).empty(), "a target that left as announced");
+    loseAndRemove("t1", target_condition::Ready);
+    const auto crashes = fixture.context.crashes.recentCrashes(boot_clock::now());
+    REQUIRE(crashes.size() == 1);
+    CHECK(crashes[0].target == "t1");
+}
+
 TEST_CASE("target_pool: excludes draining targets and evacuated data centres (guards against new requests to targets that shut down)")
 {
     node_fixture fixture;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -237,7 +237,7 @@
     if (exchanged.outcome == exchange_outcome::Completed) {
         m_context.dataCentres.onActivity(m_link->target.dataCentre, now);
     }
-    if (outcome == attempt_outcome::Lost && exchanged.wasDisconnected && !exchanged.hasReceivedBytes) {
+    if (outcome == attempt_outcome::Lost && exchanged.wasClosedByTarget && !exchanged.hasReceivedBytes) {
         m_context.crashes.onConnectionLost(m_link->target.id, *m_options.request, boot_clock::now());
         checkLiveness(m_context, m_link);
     }
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -12,6 +12,10 @@
 
 /// Retry-After for a service without targets. New targets register within seconds.
 constexpr std::chrono::milliseconds NoTargetsRetryDelay{1000};
+/// The store removes the registration of a target after this many heartbeat intervals of silence.
+constexpr int MissedHeartbeats = 3;
+/// Time until the removal is known here.
+constexpr std::chrono::milliseconds RegistrationDelay{2000};
 
 } // namespace
 
@@ -66,9 +70,15 @@
     if (found == m_byId.end()) {
         return;
     }
-    detach(found->second);
+    const target_link_ptr link = found->second;
+    detach(link);
     m_byId.erase(found);
-    m_context.crashes.onTargetRemoved(id);
+    if (link->target.condition == target_condition::Draining) {
+        m_context.crashes.onTargetLeft(id);
+    } else {
+        const auto lapse = m_context.settings.targetHeartbeat * MissedHeartbeats + RegistrationDelay;
+        m_context.crashes.onTargetExpired(id, lapse, boot_clock::now());
+    }
 }
 
 void target_pool::setEvacuated(std::set<std::string> dataCentres)
