Announce which requests are refused, not only the crashes that led to it

Cause: the evidence of a crash was announced for 10 s, and the verdict never; each instance that had not seen the evidence started from nothing. Change: each heartbeat carries up to 16 refusals (13 bytes each) with the time that is left, whoever decided them. The time left only falls, so they end everywhere.

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -17,8 +17,9 @@
 constexpr std::chrono::minutes RefusalPeriod{1};
 constexpr std::size_t MaxFingerprints = 256;
 constexpr std::size_t MaxLostPerTarget = 32;
-/// Keeps a heartbeat within one datagram.
+/// These two keep a heartbeat within one datagram.
 constexpr std::size_t MaxAnnouncedCrashes = 12;
+constexpr std::size_t MaxAnnouncedRefusals = 16;
 /// Targets also crash for other reasons while unrelated requests are in flight. Crashes of three targets with two different requests of the same
 /// fingerprint are unlikely to be a coincidence.
 constexpr quarantine_thresholds CrashThresholds{3, 2};
@@ -148,6 +149,26 @@
     return announced;
 }
 
+void crash_tracker::merge(const std::vector<peer_refusal> &refusals, time_point now)
+{
+    for (const peer_refusal &refusal : refusals) {
+        m_quarantine.merge(quarantine_notice{refusal.fingerprint, refusal.remainingMilliseconds}, now);
+    }
+}
+
+std::vector<peer_refusal> crash_tracker::currentRefusals(time_point now) const
+{
+    std::vector<peer_refusal> current;
+    for (const quarantine_notice &notice : m_quarantine.notices(now)) {
+        current.push_back({notice.fingerprint, static_cast<std::uint32_t>(notice.remainingMilliseconds)});
+    }
+    std::sort(current.begin(), current.end(), [](const peer_refusal &left, const peer_refusal &right) {
+        return left.remainingMilliseconds > right.remainingMilliseconds;
+    });
+    current.resize(std::min(current.size(), MaxAnnouncedRefusals));
+    return current;
+}
+
 std::chrono::milliseconds crash_tracker::refusedFor(const outgoing_request &request, time_point now) const
 {
     if (m_quarantine.isEmpty()) {
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -50,6 +50,12 @@
     /// Returns the crashes to announce to peers, newest first.
     std::vector<peer_crash> recentCrashes(time_point now) const;
 
+    /// Records refusals that a peer announced or that the store holds.
+    void merge(const std::vector<peer_refusal> &refusals, time_point now);
+
+    /// Returns the refusals to announce to peers, whether this instance or another one decided them; those that last longest first.
+    std::vector<peer_refusal> currentRefusals(time_point now) const;
+
     /// Returns how long the request is still refused; zero when it isn't.
     std::chrono::milliseconds refusedFor(const outgoing_request &request, time_point now) const;
 
--- a/node/crash_tracker_test.cpp
+++ b/node/crash_tracker_test.cpp
@@ -87,3 +87,20 @@
     CHECK_MESSAGE(second.tracker.recentCrashes(Start + 3s).size() == 1, "only local crashes are announced, so that old ones don't circulate for ever");
     CHECK(second.tracker.recentCrashes(Start + 30s).empty());
 }
+
+TEST_CASE("crash_tracker: an instance that starts after the crashes refuses the request too (guards against a verdict that is lost at a restart)")
+{
+    tracker_fixture witness;
+    tracker_fixture peer;
+    tracker_fixture restarted;
+    for (const std::string id : {"r1", "r2"}) {
+        for (const std::string target : {"t0", "t1", "t2"}) {
+            witness.crash(target, makeRequest(id), Start);
+        }
+    }
+    peer.tracker.merge(witness.tracker.recentCrashes(Start + 1s), Start + 1s);
+    restarted.tracker.merge(peer.tracker.recentCrashes(Start + 30s), Start + 30s);
+    restarted.tracker.merge(peer.tracker.currentRefusals(Start + 30s), Start + 30s);
+    CHECK(restarted.tracker.refusedFor(makeRequest("r3"), Start + 30s) > 25s);
+    CHECK_MESSAGE(restarted.tracker.refusedFor(makeRequest("r3"), Start + 2min).count() == 0, "an announcement doesn't prolong the refusal");
+}
--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -21,6 +21,15 @@
     MSGPACK_DEFINE_ARRAY(fingerprint, target, requestId)
 };
 
+/// A request that is refused because it crashed targets.
+struct peer_refusal
+{
+    std::uint64_t fingerprint = 0;
+    std::uint32_t remainingMilliseconds = 0; ///< Until the request is let through again.
+
+    MSGPACK_DEFINE_ARRAY(fingerprint, remainingMilliseconds)
+};
+
 /// Status of an instance, sent to its peers in one datagram per heartbeat.
 struct peer_heartbeat
 {
@@ -38,6 +47,7 @@
     std::vector<std::string> knownAddresses; ///< Of other instances; empty in most heartbeats.
     std::vector<peer_crash> crashes; ///< Detected by the instance in the last seconds.
     bool isImpaired = false; ///< At least one route can't be served because of unreachable data centres.
+    std::vector<peer_refusal> refusals; ///< All that the instance knows, so that instances that started later learn of them too.
 
     MSGPACK_DEFINE_ARRAY(version,
                          instance,
@@ -52,7 +62,8 @@
                          targetDataCentres,
                          knownAddresses,
                          crashes,
-                         isImpaired)
+                         isImpaired,
+                         refusals)
 };
 
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -121,6 +121,7 @@
                        std::chrono::milliseconds(heartbeat.intervalMilliseconds),
                        heartbeat.targetDataCentres};
     m_context.crashes.merge(heartbeat.crashes, boot_clock::now());
+    m_context.crashes.merge(heartbeat.refusals, boot_clock::now());
     const bool isNew = m_peers.onHeartbeat(status, now);
     for (const std::string &address : heartbeat.knownAddresses) {
         if (address != m_context.settings.address) {
@@ -159,6 +160,7 @@
     heartbeat.intervalMilliseconds = static_cast<std::uint32_t>(heartbeatInterval().count());
     heartbeat.targetDataCentres = m_status.targetDataCentres;
     heartbeat.crashes = m_context.crashes.recentCrashes(boot_clock::now());
+    heartbeat.refusals = m_context.crashes.currentRefusals(boot_clock::now());
     if (withAddresses) {
         heartbeat.knownAddresses = m_peers.addresses();
         std::shuffle(heartbeat.knownAddresses.begin(), heartbeat.knownAddresses.end(), m_context.random);
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -166,3 +166,17 @@
     }
     CHECK(fixture.runUntil([&] { return second->context.crashes.refusedFor(outgoing_request(message), boot_clock::now()).count() > 0; }, 2s));
 }
+
+TEST_CASE("peer_task: an instance that starts later learns which requests are refused (guards against a crashing request that reaches targets after a restart)")
+{
+    peers_fixture fixture;
+    http_message message;
+    message.method = "GET";
+    message.target = "/a/b";
+    message.fields = {{"Host", "h"}, {"Request-Id", "r1"}};
+    const outgoing_request request(message);
+    auto first = fixture.make(71, {});
+    first->context.crashes.merge(std::vector<peer_refusal>{{request.fingerprint(), 30000}}, boot_clock::now());
+    auto second = fixture.make(72, {71});
+    CHECK(fixture.runUntil([&] { return second->context.crashes.refusedFor(request, boot_clock::now()) > 20s; }, 3s));
+}
