Store the refused requests with the instance's registration

Cause: refusals lived in memory only. Change: an instance that decides a refusal writes its 'members' entry again with all refusals it knows and the time at which each ends; the list of members is read at the start anyway. One or two writes for each decision, none otherwise. Ruled out: a kind of its own, which costs one more read at each start. Test: failed before (not refused after the restart).

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -78,7 +78,9 @@
 void crash_tracker::recordCrash(const std::string &targetId, const lost_request &entry, time_point now)
 {
     m_metrics.add("requests_at_crash_total");
+    const auto refusedBefore = m_quarantine.refusedFor(entry.fingerprint, now);
     m_quarantine.recordCrash(entry.fingerprint, targetId, now, entry.requestId);
+    m_decisions += m_quarantine.refusedFor(entry.fingerprint, now) > refusedBefore ? 1 : 0;
     m_localCrashes.push_back({{entry.fingerprint, targetId, entry.requestId}, now});
     m_log.write(event_class::Decision,
                 event_line("targets", "crash_attributed")
@@ -169,6 +171,11 @@
     return current;
 }
 
+std::uint64_t crash_tracker::decisions() const
+{
+    return m_decisions;
+}
+
 std::chrono::milliseconds crash_tracker::refusedFor(const outgoing_request &request, time_point now) const
 {
     if (m_quarantine.isEmpty()) {
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -56,6 +56,10 @@
     /// Returns the refusals to announce to peers, whether this instance or another one decided them; those that last longest first.
     std::vector<peer_refusal> currentRefusals(time_point now) const;
 
+    /// Number of refusals that this instance decided on crashes that it noticed itself. Each change has to be stored, so that it survives a restart of all
+    /// instances.
+    std::uint64_t decisions() const;
+
     /// Returns how long the request is still refused; zero when it isn't.
     std::chrono::milliseconds refusedFor(const outgoing_request &request, time_point now) const;
 
@@ -83,6 +87,7 @@
     quarantine m_quarantine;
     std::unordered_map<std::string, std::vector<lost_request>> m_lostRequests; ///< Key: target.
     std::vector<local_crash> m_localCrashes;
+    std::uint64_t m_decisions = 0;
 };
 
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cstdlib>
 #include <iterator>
+#include <limits>
 #include <set>
 
 namespace balsamhook
@@ -37,6 +39,41 @@
     return address != entry.spec.end() && address->is_string() ? address->get<std::string>() : std::string();
 }
 
+/// The store gets the Unix time at which a refusal ends, since processes that read it have other boot clocks. Fingerprints are text: a JSON number may not
+/// hold 64 bits.
+nlohmann::json encodeRefusals(const std::vector<peer_refusal> &refusals)
+{
+    nlohmann::json encoded = nlohmann::json::array();
+    for (const peer_refusal &refusal : refusals) {
+        encoded.push_back({{"fingerprint", std::to_string(refusal.fingerprint)}, {"until_ms", unixTime().count() + refusal.remainingMilliseconds}});
+    }
+    return encoded;
+}
+
+/// Returns the refusals in an instance's entry that have not ended; malformed ones are skipped.
+std::vector<peer_refusal> refusalsIn(const store_object &entry)
+{
+    std::vector<peer_refusal> refusals;
+    const auto encoded = entry.spec.find("refusals");
+    if (encoded == entry.spec.end() || !encoded->is_array()) {
+        return refusals;
+    }
+    const std::int64_t now = unixTime().count();
+    for (const nlohmann::json &refusal : *encoded) {
+        const auto fingerprint = refusal.find("fingerprint");
+        const auto until = refusal.find("until_ms");
+        if (fingerprint == refusal.end() || until == refusal.end() || !fingerprint->is_string() || !until->is_number_integer()) {
+            continue;
+        }
+        const std::int64_t endsAt = until->get<std::int64_t>();
+        if (endsAt > now && endsAt - now <= std::numeric_limits<std::uint32_t>::max()) {
+            const std::uint64_t value = std::strtoull(fingerprint->get_ref<const std::string &>().c_str(), nullptr, 10);
+            refusals.push_back({value, static_cast<std::uint32_t>(endsAt - now)});
+        }
+    }
+    return refusals;
+}
+
 } // namespace
 
 peer_task::peer_task(node_context &context, metadata_store &store, peer_timings timings)
@@ -302,8 +339,11 @@
         return;
     }
     // Senders are registered so that an instance can discover peers when none of its seeds is running.
-    if (!m_isRegistered && !m_isRegistering && isSender()) {
+    // The entry also holds the refused requests, which have to survive a restart of all instances.
+    const bool isCurrent = m_isRegistered && m_storedDecisions == m_context.crashes.decisions();
+    if (!isCurrent && !m_isRegistering && isSender()) {
         m_isRegistering = true;
+        m_isRegistered = false;
         asio::co_spawn(m_context.io, registerInStore(), asio::detached);
     }
     const bool isIsolated = m_peers.alive(now).empty();
@@ -317,13 +357,17 @@
 
 nlohmann::json peer_task::registration() const
 {
-    return {{"address", m_context.settings.address}, {"data_centre", m_context.settings.dataCentre}, {"incarnation", m_incarnation}};
+    return {{"address", m_context.settings.address},
+            {"data_centre", m_context.settings.dataCentre},
+            {"incarnation", m_incarnation},
+            {"refusals", encodeRefusals(m_context.crashes.currentRefusals(boot_clock::now()))}};
 }
 
 asio::awaitable<void> peer_task::registerInStore()
 {
     const auto isTaskAlive = m_isTaskAlive;
     std::chrono::milliseconds delay = InitialRetryDelay;
+    m_storedDecisions = m_context.crashes.decisions();
     const nlohmann::json spec = registration();
     while (!m_isRegistered) {
         auto written = co_await m_store.create(MemberKind, m_context.settings.instance, spec);
@@ -378,6 +422,7 @@
     recordLocalEntry(localEntry == registered.end() ? nullptr : &*localEntry);
     for (const store_object &object : registered) {
         const std::string address = addressIn(object);
+        mergeRefusals(object);
         if (object.name == m_context.settings.instance) {
             continue;
         }
@@ -395,6 +440,14 @@
     }
 }
 
+void peer_task::mergeRefusals(const store_object &entry)
+{
+    const auto refusals = refusalsIn(entry);
+    if (!refusals.empty()) {
+        m_context.crashes.merge(refusals, boot_clock::now());
+    }
+}
+
 void peer_task::recordLocalEntry(const store_object *localEntry)
 {
     const bool isCurrent = localEntry != nullptr && addressIn(*localEntry) == m_context.settings.address;
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -83,6 +83,7 @@
     boost::asio::awaitable<void> registerInStore();
     boost::asio::awaitable<void> readMembers();
     boost::asio::awaitable<void> processMembers(std::vector<store_object> registered);
+    void mergeRefusals(const store_object &entry);
     void recordLocalEntry(const store_object *localEntry);
     bool isRemovable(const std::string &instance) const;
 
@@ -107,6 +108,7 @@
     std::shared_ptr<bool> m_isTaskAlive = std::make_shared<bool>(true); ///< False after destruction; coroutines and handlers that outlive the task check it.
     bool m_isRegistering = false;
     bool m_isRegistered = false;
+    std::uint64_t m_storedDecisions = 0; ///< crash_tracker::decisions() at the last registration.
 };
 
 } // namespace balsamhook
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -180,3 +180,39 @@
     auto second = fixture.make(72, {71});
     CHECK(fixture.runUntil([&] { return second->context.crashes.refusedFor(request, boot_clock::now()) > 20s; }, 3s));
 }
+
+TEST_CASE("peer_task: refusals survive a restart of all instances (guards against a crashing request that reaches targets after a loss of power)")
+{
+    peers_fixture fixture;
+    http_message message;
+    message.method = "GET";
+    message.target = "/a/b";
+    message.fields = {{"Host", "h"}, {"Request-Id", "r1"}};
+    const outgoing_request request(message);
+    auto first = fixture.make(81, {});
+    REQUIRE(fixture.runUntil([&] { return fixture.store.holds("members", "i81"); }, 4s));
+    const auto now = boot_clock::now();
+    for (const std::string id : {"r1", "r2"}) {
+        message.fields[1].value = id;
+        for (const std::string target : {"t1", "t2", "t3"}) {
+            first->context.crashes.onConnectionLost(target, outgoing_request(message), now);
+            first->context.crashes.onTargetDown(target, now);
+        }
+    }
+    const auto calls = fixture.store.calls();
+    REQUIRE(fixture.runUntil([&] { return fixture.store.calls() >= calls + 2; }, 3s));
+    fixture.runFor(100ms);
+    first.reset();
+    auto restarted = fixture.make(81, {});
+    CHECK(fixture.runUntil([&] { return restarted->context.crashes.refusedFor(request, boot_clock::now()) > 30s; }, 1s));
+}
+
+TEST_CASE("peer_task: malformed refusals in the store are skipped (guards against odd entries of other writers)")
+{
+    peers_fixture fixture;
+    fixture.store.put("members", "i98", {{"address", "127.0.0.98"}, {"refusals", {7, {{"fingerprint", 1}}, {{"fingerprint", "2"}, {"until_ms", "x"}}}}});
+    fixture.store.put("members", "i99", {{"address", "127.0.0.99"}, {"refusals", {{"fingerprint", "3"}}}});
+    auto first = fixture.make(91, {});
+    fixture.runFor(200ms);
+    CHECK(first->context.crashes.currentRefusals(boot_clock::now()).empty());
+}
