Renew the refusal of a request that still crashes targets, for longer

Cause: the end of the refusal also discarded what had been learned. Change: within an hour after a refusal one crash renews it for four times as long, up to an hour: late tries after 1, 5, 21 and 81 minutes instead of two or three a minute. The first design's dispatchers keep their fixed period. Test: failed before (no such period; the first crash after the refusal refused nothing).

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -15,6 +15,8 @@
 /// Each heartbeat announces a crash for this long, so that peers receive it although datagrams are lost.
 constexpr std::chrono::seconds AnnouncePeriod{10};
 constexpr std::chrono::minutes RefusalPeriod{1};
+/// A request that still crashes targets when its refusal ends is refused for up to this long.
+constexpr std::chrono::hours LongestRefusalPeriod{1};
 constexpr std::size_t MaxFingerprints = 256;
 constexpr std::size_t MaxLostPerTarget = 32;
 /// These two keep a heartbeat within one datagram.
@@ -29,7 +31,7 @@
 crash_tracker::crash_tracker(event_log &log, counters &metrics)
     : m_log(log)
     , m_metrics(metrics)
-    , m_quarantine(RefusalPeriod, MaxFingerprints, CrashThresholds)
+    , m_quarantine(RefusalPeriod, MaxFingerprints, CrashThresholds, LongestRefusalPeriod)
 {
 }
 
--- a/quarantine/quarantine.cpp
+++ b/quarantine/quarantine.cpp
@@ -10,6 +10,7 @@
 
 /// Limit of targets and of request ids recorded for one fingerprint.
 constexpr std::size_t MaxEvidence = 16;
+constexpr int RenewalFactor = 4; ///< Of the period of a renewed refusal.
 
 } // namespace
 
@@ -23,10 +24,11 @@
     return stableHash(payload, stableHash(key, stableHash(service)));
 }
 
-quarantine::quarantine(std::chrono::milliseconds period, std::size_t capacity, quarantine_thresholds thresholds)
+quarantine::quarantine(std::chrono::milliseconds period, std::size_t capacity, quarantine_thresholds thresholds, std::chrono::milliseconds longestPeriod)
     : m_period(period)
     , m_capacity(capacity)
     , m_thresholds(thresholds)
+    , m_longestPeriod(std::max(period, longestPeriod))
 {
     BALSAM_ASSERT(capacity >= 1);
     BALSAM_ASSERT(thresholds.targets >= 1);
@@ -38,31 +40,50 @@
     return entry.targets.size() >= m_thresholds.targets && requests >= m_thresholds.requests;
 }
 
+bool quarantine::isOnProbation(const suspect &entry, time_point now) const
+{
+    const bool isRenewable = m_longestPeriod > m_period && entry.lastPeriod.count() > 0;
+    return isRenewable && now >= entry.refusedUntil;
+}
+
+void quarantine::refuse(suspect &entry, std::chrono::milliseconds period, time_point now)
+{
+    entry.lastPeriod = period;
+    entry.refusedUntil = std::max(entry.refusedUntil, now + period);
+}
+
 void quarantine::recordCrash(std::uint64_t fingerprint, std::string_view target, time_point now, std::string_view requestId)
 {
-    suspect &entry = m_suspects.try_emplace(fingerprint, suspect{{}, {}, now, {}}).first->second;
+    suspect &entry = m_suspects.try_emplace(fingerprint, suspect{{}, {}, now, {}, {}}).first->second;
     // After a period without crashes, the earlier ones are no longer evidence.
     if (now - entry.crashedAt > m_period) {
         entry.targets.clear();
         entry.requests.clear();
     }
+    if (now - entry.refusedUntil > m_longestPeriod) {
+        entry.lastPeriod = std::chrono::milliseconds(0);
+    }
     const bool isNewTarget = entry.targets.size() < MaxEvidence && entry.targets.emplace(target).second;
     const bool isNewRequest = !requestId.empty() && entry.requests.size() < MaxEvidence && entry.requests.emplace(requestId).second;
     if (!isNewTarget && !isNewRequest && !requestId.empty()) {
         return;
     }
     entry.crashedAt = now;
-    if (hasEnoughEvidence(entry) && (isNewTarget || isNewRequest)) {
-        entry.refusedUntil = now + m_period;
+    if (isOnProbation(entry, now)) {
+        refuse(entry, std::min(entry.lastPeriod * RenewalFactor, m_longestPeriod), now);
+    } else if (hasEnoughEvidence(entry) && (isNewTarget || isNewRequest)) {
+        refuse(entry, std::max(m_period, entry.lastPeriod), now);
     }
     limitSize();
 }
 
 void quarantine::merge(const quarantine_notice &notice, time_point now)
 {
-    const std::chrono::milliseconds remaining = std::clamp(std::chrono::milliseconds(notice.remainingMilliseconds), std::chrono::milliseconds(0), m_period);
-    suspect &entry = m_suspects.try_emplace(notice.fingerprint, suspect{{}, {}, now, {}}).first->second;
+    const std::chrono::milliseconds remaining
+        = std::clamp(std::chrono::milliseconds(notice.remainingMilliseconds), std::chrono::milliseconds(0), m_longestPeriod);
+    suspect &entry = m_suspects.try_emplace(notice.fingerprint, suspect{{}, {}, now, {}, {}}).first->second;
     entry.refusedUntil = std::max(entry.refusedUntil, now + remaining);
+    entry.lastPeriod = std::max({entry.lastPeriod, remaining, m_period});
     limitSize();
 }
 
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -36,14 +36,18 @@
 public:
     using time_point = boot_clock::time_point;
 
-    /// Preconditions: capacity >= 1, thresholds.targets >= 1. When the capacity (in fingerprints) is exceeded, the oldest fingerprint is evicted.
-    quarantine(std::chrono::milliseconds period, std::size_t capacity, quarantine_thresholds thresholds = {});
+    /// Preconditions: capacity >= 1, thresholds.targets >= 1. When the capacity (in fingerprints) is exceeded, the oldest fingerprint is evicted. With a
+    /// longest period above the first one, a single crash within the longest period after the end of a refusal renews it for a multiple of its last period.
+    quarantine(std::chrono::milliseconds period,
+               std::size_t capacity,
+               quarantine_thresholds thresholds = {},
+               std::chrono::milliseconds longestPeriod = std::chrono::milliseconds(0));
 
     /// Attributes a crash of the target to the fingerprint. A repeated report with the same target and request id is no new evidence. Without a request
     /// id, each call renews the time of the last crash, but only a new target is evidence.
     void recordCrash(std::uint64_t fingerprint, std::string_view target, time_point now, std::string_view requestId = {});
 
-    /// Merges a refusal by another owner of targets; its remaining time is limited to the period.
+    /// Merges a refusal by another owner of targets; its remaining time is limited to the longest period.
     void merge(const quarantine_notice &notice, time_point now);
 
     /// Merges the crashes and refusals reported by an owner of targets.
@@ -70,14 +74,19 @@
         std::set<std::string, std::less<>> requests; ///< Known request ids.
         time_point crashedAt;
         time_point refusedUntil{};
+        std::chrono::milliseconds lastPeriod{0}; ///< Of the last refusal; 0 when there was none.
     };
 
+    bool isOnProbation(const suspect &entry, time_point now) const;
+    static void refuse(suspect &entry, std::chrono::milliseconds period, time_point now);
+
     void limitSize();
     bool hasEnoughEvidence(const suspect &entry) const;
 
     std::chrono::milliseconds m_period;
     std::size_t m_capacity;
     quarantine_thresholds m_thresholds;
+    std::chrono::milliseconds m_longestPeriod;
     std::map<std::uint64_t, suspect> m_suspects;
 };
 
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -46,6 +46,26 @@
     CHECK_FALSE(records.isEmpty());
 }
 
+TEST_CASE("quarantine: one crash after a refusal renews it for longer (guards against three more crashed targets each time a refusal ends)")
+{
+    quarantine records(1min, 16, {3, 2}, 1h);
+    for (const std::string target : {"a", "b", "c"}) {
+        records.recordCrash(7, target, Start, "r1");
+        records.recordCrash(7, target, Start, "r2");
+    }
+    CHECK(records.refusedFor(7, Start) == 1min);
+    records.recordCrash(7, "d", Start + 61s, "r3");
+    CHECK(records.refusedFor(7, Start + 61s) == 4min);
+    CHECK_MESSAGE(records.refusedFor(8, Start + 61s).count() == 0, "another fingerprint");
+    quarantine other(1min, 16, {3, 2}, 1h);
+    other.merge({7, 30000}, Start);
+    other.recordCrash(7, "e", Start + 40s, "r4");
+    CHECK_MESSAGE(other.refusedFor(7, Start + 40s) == 4min, "an instance that knows the refusal only from a peer");
+    const auto calm = Start + 2h;
+    records.recordCrash(7, "f", calm, "r5");
+    CHECK_MESSAGE(records.refusedFor(7, calm).count() == 0, "a crash after a long time without any is not enough evidence");
+}
+
 TEST_CASE("quarantine: the oldest fingerprint is evicted when the capacity is exceeded (guards against unlimited memory use)")
 {
     quarantine records(1min, 2);
