Keep the request limits that targets name, over all instances together

Cause: the header was not read at all. Ruled out: that one bucket for each instance is enough; in the simulation equal shares break the bound with 16 instances and a limit of 0.75 (by 3.5 requests) and with 30. Change: the instances that have requests for a limited target share its limit, few of them when it is low; heartbeats tell who has requests. Over the limit a request goes to another target, or is refused at once with the time until there is room.

--- a/node/caller_request.cpp
+++ b/node/caller_request.cpp
@@ -18,6 +18,8 @@
         return "not_run_unavailable";
     case request_outcome::NotRunFull:
         return "not_run_full";
+    case request_outcome::NotRunLimited:
+        return "not_run_limited";
     case request_outcome::NotRunCoverage:
         return "not_run_coverage";
     case request_outcome::NotRunOverload:
--- a/node/caller_request.h
+++ b/node/caller_request.h
@@ -21,6 +21,7 @@
     TargetFailure, ///< The failure response of a target was forwarded.
     NotRunUnavailable, ///< Refused: no target is available.
     NotRunFull, ///< Refused: all targets are at their limit of requests in flight.
+    NotRunLimited, ///< Refused: the request limits that the targets have named are used up.
     NotRunCoverage, ///< Refused: too few shards are reachable.
     NotRunOverload, ///< Refused: the targets are overloaded and the limit of concurrent queries is reached.
     Lost, ///< A target may have run the request, but sent no usable response.
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -53,6 +53,7 @@
     const auto now = clock::now();
     chooseService();
     m_context.budget.onRequest(m_service, now);
+    m_pool.onWanted(m_service, now);
     m_replicaWaitUntil = std::min(m_request.arrivedAt + m_request.matched->objective / ReplicaWaitDivisor, m_request.responseDeadline);
     trySend(false, now);
     schedule(now);
@@ -62,7 +63,7 @@
 {
     m_retryAt = clock::time_point::max();
     const auto links = m_pool.usable(m_service);
-    const replica_decision decision = chooseReplica(m_pool.views(links, m_attempted, now), m_statistics.latency.median(), now, m_context.draw());
+    const replica_decision decision = chooseReplica(m_pool.views(links, m_attempted, isHedge, now), m_statistics.latency.median(), now, m_context.draw());
     if (!decision.chosen) {
         if (!isHedge) {
             waitForReplica(decision, now);
@@ -84,7 +85,12 @@
 {
     m_lastReason = decision.reason;
     const bool areAllAttempted = decision.reason == no_replica::NoneLeft && !m_attempted.tried.empty();
-    const clock::time_point expected = decision.reason == no_replica::AllFull ? now : m_pool.expectedAvailable(m_service, now);
+    clock::time_point expected = now;
+    if (decision.reason == no_replica::AllLimited) {
+        expected = decision.retryAt;
+    } else if (decision.reason != no_replica::AllFull) {
+        expected = m_pool.expectedAvailable(m_service, now);
+    }
     const clock::time_point nextPoll = areAllAttempted ? clock::time_point::max() : std::max(now + ReplicaPollInterval, expected);
     // A later refusal would leave the caller no time for a retry.
     if (nextPoll > m_replicaWaitUntil) {
@@ -244,6 +250,11 @@
                refusalResponse("all targets are full", std::chrono::duration_cast<std::chrono::milliseconds>(m_statistics.latency.median())));
         return;
     }
+    if (m_lastReason == no_replica::AllLimited) {
+        const auto untilPermitted = std::chrono::ceil<std::chrono::milliseconds>(m_pool.reserveLimited(m_service, now) - now);
+        finish(request_outcome::NotRunLimited, refusalResponse("the targets' request limits are reached", std::max(untilPermitted, MinRetryAfter)));
+        return;
+    }
     const auto untilAvailable = std::chrono::ceil<std::chrono::milliseconds>(m_pool.expectedAvailable(m_service, now) - now);
     finish(request_outcome::NotRunUnavailable, refusalResponse("no target is available", std::max(untilAvailable, MinRetryAfter)));
 }
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -43,8 +43,10 @@
     for (std::size_t i = 0; i < m_shards.size(); ++i) {
         m_shards[i].service = &gather().shards[i];
         m_context.budget.onRequest(*m_shards[i].service, now);
+        m_pool.onWanted(*m_shards[i].service, now);
     }
     if (!isCoverageReachable()) {
+        reserveLimited(now);
         finish(request_outcome::NotRunCoverage, refusalResponse("too few shards are reachable", retryAfter(now)));
         return;
     }
@@ -75,6 +77,15 @@
     return reachable >= needed;
 }
 
+void gather_request::reserveLimited(clock::time_point now)
+{
+    for (const shard_state &shard : m_shards) {
+        if (!m_pool.hasAvailable(*shard.service, now, m_request.objectiveDeadline)) {
+            m_pool.reserveLimited(*shard.service, now);
+        }
+    }
+}
+
 std::chrono::milliseconds gather_request::retryAfter(clock::time_point now) const
 {
     std::vector<clock::time_point> available;
@@ -93,7 +104,7 @@
     shard_state &shard = m_shards[index];
     shard.retryAt = clock::time_point::max();
     const auto links = m_pool.usable(*shard.service);
-    const replica_decision decision = chooseReplica(m_pool.views(links, shard.attempted, now), m_statistics.latency.median(), now, m_context.draw());
+    const replica_decision decision = chooseReplica(m_pool.views(links, shard.attempted, isHedge, now), m_statistics.latency.median(), now, m_context.draw());
     if (!decision.chosen) {
         // A hedge is optional, and an attempt in flight may still deliver the part.
         if (isHedge || !shard.attempts.empty()) {
@@ -102,7 +113,7 @@
         shard.lastReason = decision.reason;
         // Before the deadline new targets may register, and full ones may get free capacity.
         shard.retryAt = now + ReplicaPollInterval;
-        if (decision.reason == no_replica::AllUnavailable) {
+        if (decision.reason == no_replica::AllUnavailable || decision.reason == no_replica::AllLimited) {
             shard.retryAt = std::max(shard.retryAt, decision.retryAt);
         }
         if (decision.reason == no_replica::NoneLeft && !shard.attempted.tried.empty()) {
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -44,6 +44,7 @@
 
     const gather_destination &gather() const;
     bool isCoverageReachable() const;
+    void reserveLimited(clock::time_point now);
     std::chrono::milliseconds retryAfter(clock::time_point now) const;
     void trySend(std::size_t index, bool isHedge, clock::time_point now);
     bool isExpectedLate(const replica_decision &decision, bool isHedge, clock::time_point now) const;
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -2,6 +2,7 @@
 
 #include "base/base.h"
 #include "node/crash_tracker.h"
+#include "node/target_limits.h"
 #include "platform/platform.h"
 #include "routing/routing.h"
 
@@ -28,6 +29,7 @@
     platform_settings &settings;
     retry_budget budget;
     crash_tracker crashes{log, metrics};
+    target_limits limits{log, metrics, settings.instance};
     data_centre_monitor dataCentres;
     std::mt19937 random{std::random_device{}()};
 
--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -30,6 +30,16 @@
     MSGPACK_DEFINE_ARRAY(fingerprint, remainingMilliseconds)
 };
 
+/// Request limit of a target, as the instance that announces it knows it.
+struct peer_limit
+{
+    std::string target;
+    float perSecond = 0; ///< 0: the limit has ended.
+    std::uint32_t ageMilliseconds = 0; ///< Since the target's response.
+
+    MSGPACK_DEFINE_ARRAY(target, perSecond, ageMilliseconds)
+};
+
 /// Status of an instance, sent to its peers in one datagram per heartbeat.
 struct peer_heartbeat
 {
@@ -48,6 +58,8 @@
     std::vector<peer_crash> crashes; ///< Detected by the instance in the last seconds.
     bool isImpaired = false; ///< At least one route can't be served because of unreachable data centres.
     std::vector<peer_refusal> refusals; ///< All that the instance knows, so that instances that started later learn of them too.
+    std::string limitDemand; ///< demand_filter of the limited targets that the instance has requests for; empty: none.
+    std::vector<peer_limit> limits; ///< A part of the limits that others can't learn from the targets' responses.
 
     MSGPACK_DEFINE_ARRAY(version,
                          instance,
@@ -63,7 +75,9 @@
                          knownAddresses,
                          crashes,
                          isImpaired,
-                         refusals)
+                         refusals,
+                         limitDemand,
+                         limits)
 };
 
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -156,9 +156,11 @@
                        heartbeat.processorShare,
                        heartbeat.maxSenders,
                        std::chrono::milliseconds(heartbeat.intervalMilliseconds),
-                       heartbeat.targetDataCentres};
+                       heartbeat.targetDataCentres,
+                       heartbeat.limitDemand};
     m_context.crashes.merge(heartbeat.crashes, boot_clock::now());
     m_context.crashes.merge(heartbeat.refusals, boot_clock::now());
+    m_context.limits.merge(heartbeat.limits, now);
     const bool isNew = m_peers.onHeartbeat(status, now);
     for (const std::string &address : heartbeat.knownAddresses) {
         if (address != m_context.settings.address) {
@@ -197,6 +199,8 @@
     heartbeat.intervalMilliseconds = static_cast<std::uint32_t>(heartbeatInterval().count());
     heartbeat.targetDataCentres = m_status.targetDataCentres;
     heartbeat.crashes = m_context.crashes.recentCrashes(boot_clock::now());
+    heartbeat.limitDemand = m_context.limits.demand(clock::now());
+    heartbeat.limits = m_limitAnnouncements;
     heartbeat.refusals = m_context.crashes.currentRefusals(boot_clock::now());
     if (withAddresses) {
         heartbeat.knownAddresses = m_peers.addresses();
@@ -266,6 +270,7 @@
         m_context.log.write(event_class::StateChange, event_line("peers", "peer_lost").add("peer", lost).add("sender", wasSender), now);
     }
     updateSenders(now);
+    m_limitAnnouncements = m_context.limits.announcements(now);
     sendHeartbeats(now);
     maintainRegistration(now);
     m_ticker = m_context.timers.start(now + HeartbeatInterval, [this] { tick(); });
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -96,6 +96,7 @@
     instance_status m_status;
     std::set<std::string> m_senders;
     std::uint64_t m_incarnation;
+    std::vector<peer_limit> m_limitAnnouncements; ///< For the heartbeats until the next tick.
     bool m_includesStandby = false; ///< Alternates: a sender sends every second heartbeat to standby instances too.
     clock::time_point m_startedAt{};
     clock::time_point m_lastNewPeerAt{};
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -216,3 +216,24 @@
     fixture.runFor(200ms);
     CHECK(first->context.crashes.currentRefusals(boot_clock::now()).empty());
 }
+
+TEST_CASE("peer_task: peers learn which limited targets an instance has requests for, and their limits (guards against each instance counting alone)")
+{
+    peers_fixture fixture;
+    auto first = fixture.make(101, {});
+    auto second = fixture.make(102, {101});
+    REQUIRE(fixture.runUntil([&] { return first->peersAlive() == 1 && second->peersAlive() == 1; }, 3s));
+    const auto now = std::chrono::steady_clock::now();
+    first->context.limits.onNamed("t0", 0.2, now);
+    first->context.limits.onWanted("t0", now);
+    std::vector<limit_peer> others(5);
+    for (std::size_t i = 0; i < others.size(); ++i) {
+        others[i].instance = "o" + std::to_string(i);
+    }
+    first->context.limits.update(others, now);
+    const auto isDemandKnown = [&] {
+        const auto known = second->task->peers().alive(std::chrono::steady_clock::now());
+        return known.size() == 1 && demand_filter::decode(known[0].status.limitDemand).contains("t0");
+    };
+    CHECK(fixture.runUntil([&] { return isDemandKnown() && second->context.limits.isLimited("t0"); }, 2s));
+}
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -147,6 +147,19 @@
     return counts;
 }
 
+std::vector<limit_peer> query_node::limitPeers(clock::time_point now) const
+{
+    std::vector<limit_peer> peers;
+    for (const peer_table::peer &peer : m_peers.peers().alive(now)) {
+        const peer_status &status = peer.status;
+        // An instance that has ceased to be a sender may still have callers.
+        if (m_peers.senders().count(status.instance) > 0 || !status.limitDemand.empty()) {
+            peers.push_back({status.instance, demand_filter::decode(status.limitDemand)});
+        }
+    }
+    return peers;
+}
+
 std::vector<placement_candidate> query_node::placementCandidates() const
 {
     std::vector<placement_candidate> candidates;
@@ -266,6 +279,7 @@
     // Without the store, an instance that has lost contact to half of the recent senders may be on the smaller side of a network partition.
     const bool isPartitioned = !m_catalogue.isStoreReachable() && m_peers.senders().size() * 2 <= recentSenders;
     m_pool.setSenders(m_peers.senders(), isPartitioned && recentSenders > 1);
+    m_context.limits.update(limitPeers(now), now);
     m_callers.updateConcurrencyLimit();
     m_reachability.update(m_configuration.get(), now);
     m_peers.setStatus(localStatus());
--- a/node/query_node.h
+++ b/node/query_node.h
@@ -36,6 +36,7 @@
     boost::asio::awaitable<http_response> checkReadiness(http_request request);
     boost::asio::awaitable<http_response> serveInternal(http_request request);
     catalogue_sync::handlers catalogueHandlers();
+    std::vector<limit_peer> limitPeers(clock::time_point now) const;
     std::vector<placement_candidate> placementCandidates() const;
     std::vector<endpoint> catalogueSources();
     bool isServing() const;
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -133,6 +133,15 @@
     return [=](const fake_target::pointer &connection, const http_message &request) { respondSigned(connection, request, signature, body); };
 }
 
+fake_target::handler respondWithLimit(const std::string &limit)
+{
+    return [=](const fake_target::pointer &connection, const http_message &request) {
+        caller_response response;
+        response.fields = {{"Request-Id", *request.find("Request-Id")}, {"Server-Stamp", "sig0"}, {"Server-Limit", limit}};
+        connection->respond(response, false);
+    };
+}
+
 void hang(const fake_target::pointer &, const http_message &)
 {
 }
@@ -508,6 +517,66 @@
     CHECK(crashes[0].target == "t1");
 }
 
+TEST_CASE("forward_request: a request above a target's limit goes to another target (guards against more requests than a target in need can take)")
+{
+    node_fixture fixture;
+    fake_target limited(fixture.io, fixture.timers, "t0", respondWithLimit("2"));
+    fake_target other(fixture.io, fixture.timers, "t1", respondWithRecords("sig1", "other"));
+    fixture.add(limited.registration("s0"));
+    fixture.add(other.registration("s0"));
+    fixture.context.limits.onNamed("t0", 2, steady::now());
+    for (int i = 0; i < 10; ++i) {
+        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent));
+        request.run();
+        CHECK(request.outcome == request_outcome::Complete);
+    }
+    CHECK(limited.received.size() <= 1);
+    CHECK(other.received.size() >= 9);
+}
+
+TEST_CASE("forward_request: a request above the limits of all targets is refused at once with the time until there is room (guards against false Retry-After)")
+{
+    node_fixture fixture;
+    fake_target limited(fixture.io, fixture.timers, "t0", respondWithLimit("2"));
+    fixture.add(limited.registration("s0"));
+    simulated_request first(fixture, forwardRoute(repeat_rule::Idempotent));
+    first.run();
+    CHECK(first.outcome == request_outcome::Complete);
+    CHECK_MESSAGE(fixture.context.limits.isLimited("t0"), "the response names the limit");
+    double earlier = 0;
+    for (int i = 0; i < 3; ++i) {
+        simulated_request refused(fixture, forwardRoute(repeat_rule::Idempotent));
+        refused.run();
+        CHECK(refused.outcome == request_outcome::NotRunLimited);
+        CHECK(refused.response->status == 503);
+        CHECK(refused.endedAfter < 20ms);
+        const double retryAfter = std::stod(refused.header("Retry-After"));
+        CHECK(retryAfter > 0.3);
+        CHECK_MESSAGE(retryAfter > earlier + 0.3, "each refused request gets a place of its own");
+        earlier = retryAfter;
+    }
+    CHECK(limited.received.size() == 1);
+}
+
+TEST_CASE("gather_request: a query is refused at once when too few shards are within their limits (guards against queries that use up limits in vain)")
+{
+    node_fixture fixture;
+    fake_target free(fixture.io, fixture.timers, "t0", respondWithRecords("sig0", High));
+    fake_target limited(fixture.io, fixture.timers, "t1", respondWithRecords("sig1", Low));
+    fixture.add(free.registration("s0"));
+    fixture.add(limited.registration("s1"));
+    fixture.context.limits.onNamed("t1", 0.5, steady::now());
+    simulated_request refused(fixture, gatherRoute(2, 1));
+    refused.run();
+    CHECK(refused.outcome == request_outcome::NotRunCoverage);
+    CHECK(std::stod(refused.header("Retry-After")) > 1.5);
+    CHECK(free.received.empty());
+    simulated_request partial(fixture, gatherRoute(2, 0.5));
+    partial.run();
+    CHECK(partial.outcome == request_outcome::Partial);
+    CHECK(limited.received.empty());
+}
+
 TEST_CASE("target_pool: excludes draining targets and evacuated data centres (guards against new requests to targets that shut down)")
 {
     node_fixture fixture;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -225,6 +225,26 @@
     }
 }
 
+void target_attempt::updateLimit(attempt_outcome outcome, const exchange_result &exchanged, steady::time_point now)
+{
+    if (exchanged.outcome != exchange_outcome::Completed) {
+        return;
+    }
+    const std::string &target = m_link->target.id;
+    const std::string *named = exchanged.response.find(platform_header::RequestLimit);
+    if (named == nullptr) {
+        if (outcome == attempt_outcome::Success) {
+            m_context.limits.onNotNamed(target, m_startedAt, now);
+        }
+        return;
+    }
+    if (const auto perSecond = decodeRequestLimit(*named)) {
+        m_context.limits.onNamed(target, *perSecond, now);
+    } else {
+        m_context.metrics.add("target_limits_malformed_total");
+    }
+}
+
 void target_attempt::onExchanged(exchange_result exchanged)
 {
     if (m_isOver) {
@@ -233,6 +253,7 @@
     const auto now = steady::now();
     const attempt_outcome outcome = classify(exchanged);
     updateHealth(outcome, exchanged, now);
+    updateLimit(outcome, exchanged, now);
     // A connection end doesn't prove that the data centre is reachable: TCP keep-alive and TCP_USER_TIMEOUT also end connections during a network partition.
     if (exchanged.outcome == exchange_outcome::Completed) {
         m_context.dataCentres.onActivity(m_link->target.dataCentre, now);
--- a/node/target_attempt.h
+++ b/node/target_attempt.h
@@ -84,6 +84,7 @@
     void send(std::shared_ptr<target_connection> connection, bool isReused);
     void onExchanged(exchange_result exchanged);
     attempt_outcome classify(const exchange_result &exchanged) const;
+    void updateLimit(attempt_outcome outcome, const exchange_result &exchanged, std::chrono::steady_clock::time_point now);
     void updateHealth(attempt_outcome outcome, const exchange_result &exchanged, std::chrono::steady_clock::time_point now);
     void release(bool keep);
     void finish(attempt_result result);
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -12,6 +12,8 @@
 
 /// Retry-After for a service without targets. New targets register within seconds.
 constexpr std::chrono::milliseconds NoTargetsRetryDelay{1000};
+/// Limits Retry-After where far more is requested than the targets' request limits permit.
+constexpr std::chrono::seconds MaxReservation{30};
 /// The store removes the registration of a target after this many heartbeat intervals of silence.
 constexpr int MissedHeartbeats = 3;
 /// Time until the removal is known here.
@@ -49,6 +51,7 @@
     target_link_ptr &link = m_byId[record.target.id];
     if (link && hasRestarted) {
         m_context.crashes.onTargetDown(record.target.id, boot_clock::now());
+        m_context.limits.onTargetEnded(record.target.id);
         detach(link);
         link = nullptr;
     }
@@ -73,6 +76,7 @@
     const target_link_ptr link = found->second;
     detach(link);
     m_byId.erase(found);
+    m_context.limits.onTargetEnded(id);
     if (link->target.condition == target_condition::Draining) {
         m_context.crashes.onTargetLeft(id);
     } else {
@@ -113,18 +117,74 @@
     return first;
 }
 
+std::optional<steady::time_point> target_pool::earliestPermitted(const std::string &service, steady::time_point now) const
+{
+    if (m_context.limits.isEmpty()) {
+        return earliestAvailable(service, now);
+    }
+    std::optional<steady::time_point> first;
+    for (const target_link_ptr &link : usable(service)) {
+        if (!m_context.dataCentres.isUnreachable(link->target.dataCentre)) {
+            const auto at = std::max({now, link->health.availableAt(), m_context.limits.availableAt(link->target.id)});
+            first = first ? std::min(*first, at) : at;
+        }
+    }
+    return first;
+}
+
 bool target_pool::hasAvailable(const std::string &service, steady::time_point now, steady::time_point before) const
 {
-    const auto first = earliestAvailable(service, now);
+    const auto first = earliestPermitted(service, now);
     return first && (*first == now || *first < before);
 }
 
+bool target_pool::isReachable(const std::string &service, steady::time_point now) const
+{
+    return earliestAvailable(service, now).has_value();
+}
+
 steady::time_point target_pool::expectedAvailable(const std::string &service, steady::time_point now) const
 {
-    if (const auto first = earliestAvailable(service, now)) {
-        return *first;
+    const auto first = earliestPermitted(service, now);
+    if (!first) {
+        return m_registrationsDueAt > now ? m_registrationsDueAt : now + NoTargetsRetryDelay;
+    }
+    const auto reserved = m_reservedUntil.find(service);
+    const bool isReserved = reserved != m_reservedUntil.end() && reserved->second > now && *first > now;
+    if (*first != steady::time_point::max()) {
+        return isReserved ? std::max(*first, reserved->second) : *first;
+    }
+    return isReserved ? reserved->second : now + NoTargetsRetryDelay;
+}
+
+void target_pool::onWanted(const std::string &service, steady::time_point now)
+{
+    if (m_context.limits.isEmpty()) {
+        return;
+    }
+    for (const target_link_ptr &link : usable(service)) {
+        m_context.limits.onWanted(link->target.id, now);
+    }
+}
+
+double target_pool::limitedRate(const std::string &service) const
+{
+    double rate = 0;
+    for (const target_link_ptr &link : usable(service)) {
+        rate += m_context.limits.meanShare(link->target.id);
     }
-    return m_registrationsDueAt > now ? m_registrationsDueAt : now + NoTargetsRetryDelay;
+    return rate;
+}
+
+steady::time_point target_pool::reserveLimited(const std::string &service, steady::time_point now)
+{
+    const double rate = limitedRate(service);
+    if (rate > 0) {
+        steady::time_point &until = m_reservedUntil[service];
+        const auto next = std::max(until, now) + std::chrono::duration_cast<steady::duration>(std::chrono::duration<double>(1 / rate));
+        until = std::min(next, now + MaxReservation);
+    }
+    return expectedAvailable(service, now);
 }
 
 void target_pool::expectRegistrations(steady::time_point before)
@@ -199,13 +259,16 @@
     const bool mayOpenConnection = link.connections == 0 || (link.connections < connectionLimit(link, now) && now >= link.connectBackoffUntil);
     replica.hasCapacity = link.health.hasCapacity() && (!link.idle.empty() || mayOpenConnection);
     replica.warmupLeft = warmupLeft(link, now);
+    replica.limitedUntil = m_context.limits.availableAt(link.target.id);
+    replica.isSavingLimit = m_context.limits.availableAt(link.target.id, true) > now;
     if (replica.hasCapacity && isColdStartLimited(link, now)) {
         replica.hasCapacity = false;
     }
     return replica;
 }
 
-std::vector<replica_view> target_pool::views(const std::vector<target_link_ptr> &links, const attempted_targets &attempted, steady::time_point now) const
+std::vector<replica_view>
+target_pool::views(const std::vector<target_link_ptr> &links, const attempted_targets &attempted, bool isHedge, steady::time_point now) const
 {
     const auto contains = [](const std::vector<std::string> &ids, const std::string &id) { return std::find(ids.begin(), ids.end(), id) != ids.end(); };
     std::vector<replica_view> replicas;
@@ -214,6 +277,9 @@
         replica_view &replica = replicas.emplace_back(view(*link, now));
         replica.isTried = contains(attempted.tried, link->target.id);
         replica.hasRefused = contains(attempted.refused, link->target.id);
+        if (isHedge && m_context.limits.isLimited(link->target.id)) {
+            replica.limitedUntil = m_context.limits.availableAt(link->target.id, true);
+        }
     }
     return replicas;
 }
@@ -223,6 +289,7 @@
     if (coldStartRate(*link, steady::now()) > 0) {
         link->coldStartLimiter.onSent();
     }
+    m_context.limits.onSent(link->target.id, steady::now());
     auto attempt = std::make_shared<target_attempt>(m_context, link, std::move(options), std::move(done));
     attempt->start();
     return attempt;
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -39,11 +39,23 @@
     /// Returns the targets of a service that are ready and not in an evacuated data centre.
     std::vector<target_link_ptr> usable(const std::string &service) const;
 
-    /// True when a usable target of the service, in a reachable data centre, is available now or before the given time.
+    /// True when a usable target of the service, in a reachable data centre, is available now or before the given time, and its request limit permits a
+    /// request of this instance by then.
     bool hasAvailable(const std::string &service, std::chrono::steady_clock::time_point now, std::chrono::steady_clock::time_point before) const;
 
+    /// True when the service has a usable target in a reachable data centre, now or after a backoff.
+    bool isReachable(const std::string &service, std::chrono::steady_clock::time_point now) const;
+
+    /// Records that this instance has a request for the service, for its share of the targets' request limits.
+    void onWanted(const std::string &service, std::chrono::steady_clock::time_point now);
+
+    /// To be called when a request is refused because of the targets' request limits. Returns when a request that comes back finds room: each refused one
+    /// gets a later time, as only one request can use it.
+    std::chrono::steady_clock::time_point reserveLimited(const std::string &service, std::chrono::steady_clock::time_point now);
+
     /// Returns when a usable target of the service in a reachable data centre is expected to be available: now or at the end of its backoff. Without such
-    /// a target, returns the time given to expectRegistrations() or, when that is past, the end of a fixed delay.
+    /// a target, returns the time given to expectRegistrations() or, when that is past, the end of a fixed delay. Takes request limits and the requests
+    /// refused because of them into account.
     std::chrono::steady_clock::time_point expectedAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
 
     /// To be called after the registrations were read at the end of a store outage: targets whose entries expired meanwhile register again by the given time.
@@ -52,9 +64,9 @@
     /// Returns the properties of a target that chooseReplica() needs.
     replica_view view(target_link &link, std::chrono::steady_clock::time_point now) const;
 
-    /// Returns the views of all links for one request, in the same order.
+    /// Returns the views of all links for one request, in the same order. A hedge uses only what targets' request limits leave over.
     std::vector<replica_view>
-    views(const std::vector<target_link_ptr> &links, const attempted_targets &attempted, std::chrono::steady_clock::time_point now) const;
+    views(const std::vector<target_link_ptr> &links, const attempted_targets &attempted, bool isHedge, std::chrono::steady_clock::time_point now) const;
 
     /// Starts an attempt. The handler is called at most once, from the event loop after send() has returned.
     target_attempt_ptr send(const target_link_ptr &link, attempt_options options, target_attempt::handler done);
@@ -74,6 +86,8 @@
     bool isColdStartLimited(target_link &link, std::chrono::steady_clock::time_point now) const;
     bool isUsable(const target_link &link) const;
     std::optional<std::chrono::steady_clock::time_point> earliestAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
+    std::optional<std::chrono::steady_clock::time_point> earliestPermitted(const std::string &service, std::chrono::steady_clock::time_point now) const;
+    double limitedRate(const std::string &service) const;
     void closeIdleConnections(target_link &link);
     void detach(const target_link_ptr &link);
 
@@ -84,6 +98,7 @@
     std::chrono::steady_clock::time_point m_registrationsDueAt{};
     std::shared_ptr<const routing_configuration> m_configuration;
     unsigned m_senderCount = 1;
+    std::unordered_map<std::string, std::chrono::steady_clock::time_point> m_reservedUntil; ///< By service, for requests refused because of limits.
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     std::set<std::string> m_senders;
     bool m_isPartitioned = false;
--- a/node/target_reachability.cpp
+++ b/node/target_reachability.cpp
@@ -86,7 +86,7 @@
 
 bool target_reachability::canServe(const route &served, clock::time_point now) const
 {
-    const auto isReachable = [&](const std::string &service) { return m_pool.hasAvailable(service, now, clock::time_point::max()); };
+    const auto isReachable = [&](const std::string &service) { return m_pool.isReachable(service, now); };
     if (const auto *gather = std::get_if<gather_destination>(&served.destination)) {
         const auto reachable = static_cast<std::size_t>(std::count_if(gather->shards.begin(), gather->shards.end(), isReachable));
         return reachable >= partsNeeded(gather->shards.size(), gather->minimumCoverage);
--- a/routing/replica_choice.cpp
+++ b/routing/replica_choice.cpp
@@ -13,6 +13,7 @@
 /// A target of another data centre must be faster by this share of the typical latency: traffic between data centres costs money, and a small gain is
 /// mostly noise.
 constexpr double RemotePenalty = 0.7;
+constexpr double SavedLimitPenalty = 1; ///< As a share of the typical latency.
 constexpr std::chrono::microseconds RemoteRoundTrip{2000};
 constexpr std::chrono::milliseconds StalePenalty{200};
 constexpr std::chrono::milliseconds RefusedPenalty{100};
@@ -30,6 +31,9 @@
     if (replica.warmupLeft.count() > 0) {
         cost *= ColdFactor;
     }
+    if (replica.isSavingLimit) {
+        cost += static_cast<double>(typical.count()) * SavedLimitPenalty;
+    }
     if (!replica.isLocal) {
         cost += static_cast<double>(typical.count()) * RemotePenalty + static_cast<double>(RemoteRoundTrip.count());
     }
@@ -39,6 +43,14 @@
     return total;
 }
 
+/// Records a replica that can be used from the given time on. Of several reasons the decision keeps the greatest.
+void recordRetry(replica_decision &decision, no_replica reason, target_health::clock::time_point at)
+{
+    const bool isFirst = decision.retryAt == target_health::clock::time_point{};
+    decision.retryAt = isFirst ? at : std::min(decision.retryAt, at);
+    decision.reason = std::max(decision.reason, reason);
+}
+
 } // namespace
 
 std::string_view nameOf(no_replica reason)
@@ -48,6 +60,8 @@
         return "no_target";
     case no_replica::AllUnavailable:
         return "all_unavailable";
+    case no_replica::AllLimited:
+        return "all_limited";
     case no_replica::AllFull:
         return "all_full";
     }
@@ -69,9 +83,11 @@
             continue;
         }
         if (replica.isUnreachable || !replica.health->isAvailable(now)) {
-            const auto at = replica.isUnreachable ? now + UnreachableRetryDelay : replica.health->availableAt();
-            decision.retryAt = decision.reason == no_replica::AllUnavailable ? std::min(decision.retryAt, at) : at;
-            decision.reason = decision.reason == no_replica::AllFull ? no_replica::AllFull : no_replica::AllUnavailable;
+            recordRetry(decision, no_replica::AllUnavailable, replica.isUnreachable ? now + UnreachableRetryDelay : replica.health->availableAt());
+            continue;
+        }
+        if (replica.limitedUntil > now) {
+            recordRetry(decision, no_replica::AllLimited, replica.limitedUntil);
             continue;
         }
         if (!replica.hasCapacity) {
--- a/routing/replica_choice.h
+++ b/routing/replica_choice.h
@@ -24,12 +24,15 @@
     bool isUnreachable = false; ///< Its whole data centre is unreachable from this instance.
     bool hasCapacity = false; ///< May get one more request within the limits of requests in flight, connections and cold start.
     std::chrono::milliseconds warmupLeft{0};
+    bool isSavingLimit = false; ///< Its request limit is not used up, but a request that is not sent now can be sent later, when other replicas are late.
+    target_health::clock::time_point limitedUntil{}; ///< When its request limit lets this instance send the next request.
 };
 
 /// Why no replica was chosen.
 enum class no_replica : std::uint8_t {
     NoneLeft, ///< No replica is known, or all were tried.
     AllUnavailable, ///< All replicas left are backed off or in unreachable data centres.
+    AllLimited, ///< All replicas left that are available have named a request limit that is used up.
     AllFull, ///< At least one replica left is available but has no capacity for a request from this instance.
 };
 
@@ -40,7 +43,7 @@
     std::optional<std::size_t> chosen; ///< Index into the views.
     std::chrono::microseconds expected{0}; ///< Expected latency of the chosen replica.
     no_replica reason = no_replica::NoneLeft; ///< Valid when none was chosen.
-    target_health::clock::time_point retryAt{}; ///< Earliest retry of an unavailable replica; valid for AllUnavailable.
+    target_health::clock::time_point retryAt{}; ///< Earliest retry of an unavailable or limited replica; valid for AllUnavailable and AllLimited.
 };
 
 /// Chooses the replica with the lowest expected latency; prefers the local data centre unless a remote replica is clearly faster. typical: median latency
--- a/routing/routing_test.cpp
+++ b/routing/routing_test.cpp
@@ -171,6 +171,25 @@
     CHECK(unavailable.retryAt == failing.availableAt());
 }
 
+TEST_CASE("chooseReplica: a replica whose request limit is used up is not chosen (guards against more requests than a target in need can take)")
+{
+    const target_health health;
+    replica_view limited = viewOf(health);
+    limited.limitedUntil = Start + 300ms;
+    replica_view other = viewOf(health, false);
+    CHECK(choose({limited, other}).chosen == 1);
+    replica_view longer = limited;
+    longer.limitedUntil = Start + 500ms;
+    const replica_decision refused = choose({longer, limited});
+    CHECK_FALSE(refused.chosen);
+    CHECK(refused.reason == no_replica::AllLimited);
+    CHECK(refused.retryAt == Start + 300ms);
+    replica_view saving = viewOf(health);
+    saving.isSavingLimit = true;
+    CHECK_MESSAGE(choose({saving, viewOf(health)}).chosen == 1, "what a limit saves is kept for when the other replica is late");
+    CHECK(choose({saving}).chosen == 0);
+}
+
 TEST_CASE("chooseReplica: a stale target is the last choice (guards against losing a shard whose registrations disappeared in a store outage)")
 {
     target_health first;
