End exchanges with targets that send bytes without end

A searcher that sends a chunk extension, trailer lines, interim responses or responses to other requests without end was read until the deadline; the first two also grew in memory without limit (8 MB in the test, until its peer stopped). Cause: only bytes that the parser consumes count against its limits, not those that wait for the end of a line or block; discarded responses were not counted at all. Change: an incomplete line or block is limited like a header (64 KiB), and an exchange discards at most 16 responses; then it is lost and its connection closed. Not changed: a body may have 16 MiB, so several endless bodies at once are limited by the deadline only.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -224,6 +224,72 @@
     }
 }
 
+TEST_CASE("target_connection: a response that ends within its header is lost (guards against a success with an empty body)")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nServer-Stamp: s\r\nContent-Type: text/plain\r\n\r\n";
+    for (std::size_t sent = 0; sent < head.size(); ++sent) {
+        scripted_peer peer([&](tcp::socket &socket) {
+            readRequest(socket);
+            boost::system::error_code ignored;
+            asio::write(socket, asio::buffer(head.substr(0, sent)), ignored);
+        });
+        single_exchange exchange(peer.address());
+        const auto result = exchange.send();
+        CAPTURE(sent);
+        REQUIRE(result.has_value());
+        CHECK(result->outcome == exchange_outcome::Lost);
+    }
+}
+
+TEST_CASE("target_connection: a response without end is lost and its connection closed (guards against unlimited memory and processor time)")
+{
+    struct endless
+    {
+        std::string name;
+        std::string start;
+        std::string repeated;
+        std::size_t limit; ///< Bytes after which the connection must be closed, with what the sockets may hold.
+    };
+    const std::string line(1000, 'x');
+    constexpr std::size_t Buffered = 8 * 1024 * 1024;
+    const std::size_t header = message_reader::limits().headerBytes + Buffered;
+    const std::size_t body = message_reader::limits().bodyBytes + Buffered;
+    const std::vector<endless> responses{{"status line", "HTTP/1.1 200 ", line, header},
+                                         {"header line", "HTTP/1.1 200 OK\r\nX-Long: ", line, header},
+                                         {"header lines", "HTTP/1.1 200 OK\r\n", "X-Line: " + line + "\r\n", header},
+                                         {"no HTTP", "", line, header},
+                                         {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", header},
+                                         {"responses to other requests", "", makeResponse("other", line), header},
+                                         {"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", line, header},
+                                         {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n", body * 3},
+                                         {"trailer lines", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + line + "\r\n", header},
+                                         {"body", "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n", line, body}};
+    for (const endless &response : responses) {
+        std::size_t written = 0;
+        std::optional<exchange_result> result;
+        {
+            scripted_peer peer([&](tcp::socket &socket) {
+                readRequest(socket);
+                std::string piece = response.start;
+                boost::system::error_code failed;
+                while (!failed && written <= response.limit) {
+                    written += asio::write(socket, asio::buffer(piece), failed);
+                    piece.clear();
+                    while (piece.size() < 60000) {
+                        piece += response.repeated;
+                    }
+                }
+            });
+            single_exchange exchange(peer.address());
+            result = exchange.send();
+        }
+        CAPTURE(response.name);
+        REQUIRE(result.has_value());
+        CHECK(result->outcome == exchange_outcome::Lost);
+        CHECK(written <= response.limit);
+    }
+}
+
 TEST_CASE("target_connection: an incomplete response is lost (guards against forwarding truncated responses)")
 {
     scripted_peer peer([](tcp::socket &socket) {
--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -16,6 +16,8 @@
 
 /// An idle connection is not reused in this period before the target's idle timeout, so that a request doesn't race with the close.
 constexpr std::chrono::milliseconds IdleMargin{300};
+/// Interim responses and late responses to earlier requests that an exchange may discard.
+constexpr unsigned MaxDiscardedResponses = 16;
 
 std::optional<std::chrono::milliseconds> idleTimeoutOf(const http_message &response)
 {
@@ -38,6 +40,7 @@
 target_connection::target_connection(asio::io_context &context, endpoint peer, message_reader::limits limits)
     : m_socket(context)
     , m_peer(std::move(peer))
+    , m_limits(limits)
     , m_reader(message_kind::Response, limits)
 {
 }
@@ -85,6 +88,7 @@
     m_requestId = std::move(requestId);
     m_outgoing = std::move(request);
     m_written = 0;
+    m_discarded = 0;
     if (!expectsBody) {
         m_reader.expectNoBody();
     }
@@ -166,9 +170,15 @@
         if (!m_reader.isDone()) {
             // The reader consumes complete lines only; the rest is passed again with the next bytes.
             m_unparsed = data;
+            if (m_unparsed.size() > m_limits.headerBytes) {
+                finish({exchange_outcome::Lost, {}, false, false, true});
+            }
+            return;
+        }
+        if (!acceptResponse(!data.empty()) && ++m_discarded > MaxDiscardedResponses) {
+            finish({exchange_outcome::Lost, {}, false, false, true});
             return;
         }
-        acceptResponse(!data.empty());
     }
 }
 
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -73,6 +73,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     endpoint m_peer;
+    message_reader::limits m_limits;
     message_reader m_reader;
     std::array<char, 4096> m_buffer{};
     std::string m_unparsed; ///< Received bytes of an incomplete line.
@@ -81,6 +82,7 @@
     close_handler m_closeHandler;
     std::string m_outgoing;
     std::size_t m_written = 0;
+    unsigned m_discarded = 0; ///< Responses of this exchange that were discarded.
     std::string m_requestId;
     bool m_open = false;
     bool m_closed = false;
