Try a query on one shard first after its content crashed targets

A query that crashes targets takes one target of each shard with it; the caller's second request, before the query is refused, took the other one of each, and then no shard had a target left. Cause: evidence that isn't enough for a refusal (several targets, one request) was not used at all by the instances that had it. Change: such a query runs on one shard; a part from there releases the others, a loss ends it with 502. Costs one target's response time for an innocent query. Test: failed before (four targets got the query instead of one).

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -178,6 +178,11 @@
     return m_decisions;
 }
 
+bool crash_tracker::isSuspected(const outgoing_request &request, time_point now) const
+{
+    return !m_quarantine.isEmpty() && m_quarantine.isSuspected(request.fingerprint(), now);
+}
+
 std::chrono::milliseconds crash_tracker::refusedFor(const outgoing_request &request, time_point now) const
 {
     if (m_quarantine.isEmpty()) {
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -60,6 +60,9 @@
     /// instances.
     std::uint64_t decisions() const;
 
+    /// True when an earlier request with the same content was in flight at enough crashed targets to be refused if this one crashes a target too.
+    bool isSuspected(const outgoing_request &request, time_point now) const;
+
     /// Returns how long the request is still refused; zero when it isn't.
     std::chrono::milliseconds refusedFor(const outgoing_request &request, time_point now) const;
 
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -50,13 +50,30 @@
         finish(request_outcome::NotRunCoverage, refusalResponse("too few shards are reachable", retryAfter(now)));
         return;
     }
-    for (std::size_t i = 0; i < m_shards.size(); ++i) {
-        trySend(i, false, now);
-    }
+    sendFirst(now);
     decide(now);
     schedule();
 }
 
+void gather_request::sendFirst(clock::time_point now)
+{
+    m_isSuspected = m_context.crashes.isSuspected(*m_request.outgoing, boot_clock::now());
+    if (!m_isSuspected) {
+        for (std::size_t i = 0; i < m_shards.size(); ++i) {
+            trySend(i, false, now);
+        }
+        return;
+    }
+    const auto isAvailable = [&](const shard_state &shard) { return m_pool.hasAvailable(*shard.service, now, now); };
+    const auto found = std::find_if(m_shards.begin(), m_shards.end(), isAvailable);
+    const auto first = found == m_shards.end() ? 0 : static_cast<std::size_t>(found - m_shards.begin());
+    logDecision("sends_held", m_shards[first], "none", "crashes_suspected");
+    for (std::size_t i = 0; i < m_shards.size(); ++i) {
+        m_shards[i].isHeld = i != first;
+    }
+    trySend(first, false, now);
+}
+
 bool gather_request::isCoverageReachable() const
 {
     const auto now = clock::now();
@@ -222,6 +239,10 @@
     shard_state &shard = m_shards[index];
     if (result.outcome == attempt_outcome::Lost) {
         recordLoss(shard);
+        if (m_isSuspected && m_signatures.empty()) {
+            shard.isExhausted = shard.attempts.empty();
+            return;
+        }
     }
     if (shard.sends >= m_request.matched->maxAttempts) {
         shard.isExhausted = shard.attempts.empty();
@@ -265,7 +286,7 @@
         }
         if (!m_signatures.empty()) {
             releaseHeldShard(i, now);
-        } else if (m_lostExtraSends >= MaxLostExtraSends) {
+        } else if (m_lostExtraSends >= MaxLostExtraSends || (m_isSuspected && m_lostAttempts > 0)) {
             m_shards[i].isHeld = false;
             m_shards[i].isExhausted = true;
         } else if (!isAnyInFlight()) {
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -37,7 +37,8 @@
         bool wasHedged = false;
         bool isDone = false;
         bool isExhausted = false; ///< No part is expected any more.
-        bool isHeld = false; ///< Its extra send waits until a part of another shard shows that the query doesn't crash targets.
+        bool isHeld
+            = false; ///< Its extra send, or any send of a suspected query, waits until a part of another shard shows that the query doesn't crash targets.
         clock::time_point hedgeAt = clock::time_point::max();
         clock::time_point retryAt = clock::time_point::max(); ///< When to check for a replica again.
     };
@@ -46,6 +47,7 @@
     bool isCoverageReachable() const;
     void reserveLimited(clock::time_point now);
     std::chrono::milliseconds retryAfter(clock::time_point now) const;
+    void sendFirst(clock::time_point now);
     void trySend(std::size_t index, bool isHedge, clock::time_point now);
     bool isExpectedLate(const replica_decision &decision, bool isHedge, clock::time_point now) const;
     void send(std::size_t index, const target_link_ptr &link, bool isHedge, clock::time_point now);
@@ -82,6 +84,7 @@
     std::size_t m_lostAttempts = 0; ///< Attempts that ended without a response.
     std::size_t m_lostExtraSends = 0; ///< Lost attempts that were not the first of their shard.
     std::size_t m_skipped = 0; ///< Shards left out because their response is expected after the objective.
+    bool m_isSuspected = false; ///< An earlier query with the same content was in flight at several crashed targets.
     bool m_mayHaveRun = false;
     bool m_isOver = false;
 };
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -276,6 +276,34 @@
     CHECK(sends <= Shards + 4);
 }
 
+TEST_CASE("gather_request: a query whose earlier request crashed targets is tried on one shard first (guards against a second crash in each shard)")
+{
+    for (const bool isCrashing : {true, false}) {
+        node_fixture fixture;
+        std::vector<std::unique_ptr<fake_target>> targets;
+        for (int i = 0; i < 4; ++i) {
+            const auto answer = isCrashing ? closeConnection : respondWithRecords("sig" + std::to_string(i), High);
+            targets.push_back(std::make_unique<fake_target>(fixture.io, fixture.timers, "t" + std::to_string(i), answer));
+            fixture.add(targets.back()->registration("s" + std::to_string(i)));
+        }
+        http_message earlier = requestMessage();
+        earlier.fields[1].value = "r0";
+        for (const std::string target : {"c0", "c1", "c2"}) {
+            fixture.context.crashes.onConnectionLost(target, outgoing_request(earlier), boot_clock::now());
+            fixture.context.crashes.onTargetDown(target, boot_clock::now());
+        }
+        simulated_request query(fixture, gatherRoute(4, 1));
+        query.run();
+        std::size_t received = 0;
+        for (const auto &target : targets) {
+            received += target->received.size();
+        }
+        CAPTURE(isCrashing);
+        CHECK(query.outcome == (isCrashing ? request_outcome::Lost : request_outcome::Complete));
+        CHECK(received == (isCrashing ? 1 : 4));
+    }
+}
+
 TEST_CASE("gather_request: replicas in other data centres run a query whose attempts in one data centre are all lost (guards against failing it too early)")
 {
     node_fixture fixture;
--- a/quarantine/quarantine.cpp
+++ b/quarantine/quarantine.cpp
@@ -101,6 +101,12 @@
     return std::chrono::ceil<std::chrono::milliseconds>(found->second.refusedUntil - now);
 }
 
+bool quarantine::isSuspected(std::uint64_t fingerprint, time_point now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found != m_suspects.end() && found->second.targets.size() >= m_thresholds.targets && now - found->second.crashedAt <= m_period;
+}
+
 bool quarantine::isEmpty() const
 {
     return m_suspects.empty();
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -61,6 +61,9 @@
     /// Remaining time of the refusal; zero when the fingerprint isn't refused.
     std::chrono::milliseconds refusedFor(std::uint64_t fingerprint, time_point now) const;
 
+    /// True when the fingerprint crashed as many targets as a refusal needs, but not yet with as many requests.
+    bool isSuspected(std::uint64_t fingerprint, time_point now) const;
+
     /// True when no fingerprint is recorded; computing one can then be skipped.
     bool isEmpty() const;
 
