--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -1,11 +1,11 @@
 #include "node/peer_task.h"
 
+#include "node/member_record.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cstdlib>
 #include <iterator>
-#include <limits>
 #include <set>
 
 namespace balsamhook
@@ -32,48 +32,6 @@
 constexpr std::chrono::milliseconds InitialRetryDelay{200};
 constexpr std::chrono::milliseconds MaxRetryDelay{3000};
 
-/// Returns the address in an instance's entry; empty when it is missing or malformed.
-std::string addressIn(const store_object &entry)
-{
-    const auto address = entry.spec.find("address");
-    return address != entry.spec.end() && address->is_string() ? address->get<std::string>() : std::string();
-}
-
-/// The store gets the Unix time at which a refusal ends, since processes that read it have other boot clocks. Fingerprints are text: a JSON number may not
-/// hold 64 bits.
-nlohmann::json encodeRefusals(const std::vector<peer_refusal> &refusals)
-{
-    nlohmann::json encoded = nlohmann::json::array();
-    for (const peer_refusal &refusal : refusals) {
-        encoded.push_back({{"fingerprint", std::to_string(refusal.fingerprint)}, {"until_ms", unixTime().count() + refusal.remainingMilliseconds}});
-    }
-    return encoded;
-}
-
-/// Returns the refusals in an instance's entry that have not ended; malformed ones are skipped.
-std::vector<peer_refusal> refusalsIn(const store_object &entry)
-{
-    std::vector<peer_refusal> refusals;
-    const auto encoded = entry.spec.find("refusals");
-    if (encoded == entry.spec.end() || !encoded->is_array()) {
-        return refusals;
-    }
-    const std::int64_t now = unixTime().count();
-    for (const nlohmann::json &refusal : *encoded) {
-        const auto fingerprint = refusal.find("fingerprint");
-        const auto until = refusal.find("until_ms");
-        if (fingerprint == refusal.end() || until == refusal.end() || !fingerprint->is_string() || !until->is_number_integer()) {
-            continue;
-        }
-        const std::int64_t endsAt = until->get<std::int64_t>();
-        if (endsAt > now && endsAt - now <= std::numeric_limits<std::uint32_t>::max()) {
-            const std::uint64_t value = std::strtoull(fingerprint->get_ref<const std::string &>().c_str(), nullptr, 10);
-            refusals.push_back({value, static_cast<std::uint32_t>(endsAt - now)});
-        }
-    }
-    return refusals;
-}
-
 } // namespace
 
 peer_task::peer_task(node_context &context, metadata_store &store, peer_timings timings)
@@ -362,10 +320,12 @@
 
 nlohmann::json peer_task::registration() const
 {
-    return {{"address", m_context.settings.address},
-            {"data_centre", m_context.settings.dataCentre},
-            {"incarnation", m_incarnation},
-            {"refusals", encodeRefusals(m_context.crashes.currentRefusals(boot_clock::now()))}};
+    member_record record;
+    record.address = m_context.settings.address;
+    record.dataCentre = m_context.settings.dataCentre;
+    record.incarnation = m_incarnation;
+    record.refusals = m_context.crashes.currentRefusals(boot_clock::now());
+    return encodeMember(record);
 }
 
 asio::awaitable<void> peer_task::registerInStore()
@@ -426,8 +386,8 @@
         = std::find_if(registered.begin(), registered.end(), [this](const store_object &object) { return object.name == m_context.settings.instance; });
     recordLocalEntry(localEntry == registered.end() ? nullptr : &*localEntry);
     for (const store_object &object : registered) {
-        const std::string address = addressIn(object);
-        mergeRefusals(object);
+        const member_record record = decodeMember(object.spec);
+        m_context.crashes.merge(record.refusals, boot_clock::now());
         if (object.name == m_context.settings.instance) {
             continue;
         }
@@ -439,23 +399,15 @@
             m_context.log.write(event_class::StateChange,
                                 event_line("peers", "member_removed").add("peer", object.name).add("result", removed ? "removed" : "failed"),
                                 clock::now());
-        } else if (!address.empty()) {
-            m_peers.addAddress(address, clock::now());
+        } else if (!record.address.empty()) {
+            m_peers.addAddress(record.address, clock::now());
         }
     }
 }
 
-void peer_task::mergeRefusals(const store_object &entry)
-{
-    const auto refusals = refusalsIn(entry);
-    if (!refusals.empty()) {
-        m_context.crashes.merge(refusals, boot_clock::now());
-    }
-}
-
 void peer_task::recordLocalEntry(const store_object *localEntry)
 {
-    const bool isCurrent = localEntry != nullptr && addressIn(*localEntry) == m_context.settings.address;
+    const bool isCurrent = localEntry != nullptr && decodeMember(localEntry->spec).address == m_context.settings.address;
     const bool isFirstRead = clock::now() - m_startedAt < RegistrationDelay;
     m_wasRegisteredAtStart = m_wasRegisteredAtStart || (isCurrent && isFirstRead);
     // A sender that received no heartbeats from this instance may have removed its entry.
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -83,7 +83,6 @@
     boost::asio::awaitable<void> registerInStore();
     boost::asio::awaitable<void> readMembers();
     boost::asio::awaitable<void> processMembers(std::vector<store_object> registered);
-    void mergeRefusals(const store_object &entry);
     void recordLocalEntry(const store_object *localEntry);
     bool isRemovable(const std::string &instance) const;
 
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -72,6 +72,27 @@
     metadata_service store;
 };
 
+outgoing_request makeRequest(const std::string &id)
+{
+    http_message message;
+    message.method = "GET";
+    message.target = "/a/b";
+    message.fields = {{"Host", "h"}, {"Request-Id", id}};
+    return outgoing_request(message);
+}
+
+/// Lets the instance see enough crashes to refuse makeRequest().
+void crashTargets(simulated_instance &witness)
+{
+    const auto now = boot_clock::now();
+    for (const std::string id : {"r1", "r2"}) {
+        for (const std::string target : {"t1", "t2", "t3"}) {
+            witness.context.crashes.onConnectionLost(target, makeRequest(id), now);
+            witness.context.crashes.onTargetDown(target, now);
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("peer_task: instances with a common seed discover each other and detect a lost peer (guards against sending callers to dead instances)")
@@ -153,28 +174,14 @@
     auto first = fixture.make(51, {});
     auto second = fixture.make(52, {51});
     REQUIRE(fixture.runUntil([&] { return first->peersAlive() == 1 && second->peersAlive() == 1; }, 3s));
-    http_message message;
-    message.method = "GET";
-    message.target = "/a/b";
-    const auto now = boot_clock::now();
-    for (const std::string id : {"r1", "r2"}) {
-        message.fields = {{"Host", "h"}, {"Request-Id", id}};
-        for (const std::string target : {"t1", "t2", "t3"}) {
-            first->context.crashes.onConnectionLost(target, outgoing_request(message), now);
-            first->context.crashes.onTargetDown(target, now);
-        }
-    }
-    CHECK(fixture.runUntil([&] { return second->context.crashes.refusedFor(outgoing_request(message), boot_clock::now()).count() > 0; }, 2s));
+    crashTargets(*first);
+    CHECK(fixture.runUntil([&] { return second->context.crashes.refusedFor(makeRequest("r3"), boot_clock::now()).count() > 0; }, 2s));
 }
 
 TEST_CASE("peer_task: an instance that starts later learns which requests are refused (guards against a crashing request that reaches targets after a restart)")
 {
     peers_fixture fixture;
-    http_message message;
-    message.method = "GET";
-    message.target = "/a/b";
-    message.fields = {{"Host", "h"}, {"Request-Id", "r1"}};
-    const outgoing_request request(message);
+    const outgoing_request request = makeRequest("r1");
     auto first = fixture.make(71, {});
     first->context.crashes.merge(std::vector<peer_refusal>{{request.fingerprint(), 30000}}, boot_clock::now());
     auto second = fixture.make(72, {71});
@@ -184,21 +191,10 @@
 TEST_CASE("peer_task: refusals survive a restart of all instances (guards against a crashing request that reaches targets after a loss of power)")
 {
     peers_fixture fixture;
-    http_message message;
-    message.method = "GET";
-    message.target = "/a/b";
-    message.fields = {{"Host", "h"}, {"Request-Id", "r1"}};
-    const outgoing_request request(message);
+    const outgoing_request request = makeRequest("r1");
     auto first = fixture.make(81, {});
     REQUIRE(fixture.runUntil([&] { return fixture.store.holds("members", "i81"); }, 4s));
-    const auto now = boot_clock::now();
-    for (const std::string id : {"r1", "r2"}) {
-        message.fields[1].value = id;
-        for (const std::string target : {"t1", "t2", "t3"}) {
-            first->context.crashes.onConnectionLost(target, outgoing_request(message), now);
-            first->context.crashes.onTargetDown(target, now);
-        }
-    }
+    crashTargets(*first);
     const auto calls = fixture.store.calls();
     REQUIRE(fixture.runUntil([&] { return fixture.store.calls() >= calls + 2; }, 3s));
     fixture.runFor(100ms);
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -22,13 +22,13 @@
 
 using steady = std::chrono::steady_clock;
 
-http_message requestMessage(const std::string &method = "GET")
+http_message requestMessage(const std::string &method = "GET", const std::string &id = "r1")
 {
     http_message message;
     message.method = method;
     message.target = "/a/b?q=1";
     message.fields = {{"Host", "h.example"},
-                      {"Request-Id", "r1"},
+                      {"Request-Id", id},
                       {"Deadline-Ms", "9999"},
                       {"X-Own", "kept"},
                       {"Connection", "keep-alive, X-Hop"},
@@ -286,10 +286,9 @@
             targets.push_back(std::make_unique<fake_target>(fixture.io, fixture.timers, "t" + std::to_string(i), answer));
             fixture.add(targets.back()->registration("s" + std::to_string(i)));
         }
-        http_message earlier = requestMessage();
-        earlier.fields[1].value = "r0";
+        const outgoing_request earlier(requestMessage("GET", "r0"));
         for (const std::string target : {"c0", "c1", "c2"}) {
-            fixture.context.crashes.onConnectionLost(target, outgoing_request(earlier), boot_clock::now());
+            fixture.context.crashes.onConnectionLost(target, earlier, boot_clock::now());
             fixture.context.crashes.onTargetDown(target, boot_clock::now());
         }
         simulated_request query(fixture, gatherRoute(4, 1));
@@ -427,9 +426,7 @@
         fixture.add(targets.back()->registration("s0"));
     }
     for (const std::string id : {"r1", "r2"}) {
-        http_message message = requestMessage();
-        message.fields[1].value = id;
-        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent), message);
+        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent), requestMessage("GET", id));
         request.run();
         CHECK(request.outcome == request_outcome::Lost);
     }
@@ -446,9 +443,7 @@
         fixture.add(targets.back()->registration("s0"));
     }
     for (const std::string id : {"r1", "r2"}) {
-        http_message message = requestMessage();
-        message.fields[1].value = id;
-        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent), message);
+        simulated_request request(fixture, forwardRoute(repeat_rule::Idempotent), requestMessage("GET", id));
         request.run();
     }
     fixture.runFor(300ms);
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -101,7 +101,8 @@
     return link.target.condition == target_condition::Ready && m_evacuated.count(link.target.dataCentre) == 0;
 }
 
-std::optional<steady::time_point> target_pool::earliestAvailable(const std::string &service, steady::time_point now) const
+template<typename time_of>
+std::optional<steady::time_point> target_pool::earliest(const std::string &service, time_of availableAt) const
 {
     std::optional<steady::time_point> first;
     const auto found = m_byService.find(service);
@@ -110,26 +111,23 @@
     }
     for (const target_link_ptr &link : found->second) {
         if (isUsable(*link) && !m_context.dataCentres.isUnreachable(link->target.dataCentre)) {
-            const auto at = std::max(now, link->health.availableAt());
+            const auto at = availableAt(*link);
             first = first ? std::min(*first, at) : at;
         }
     }
     return first;
 }
 
+std::optional<steady::time_point> target_pool::earliestAvailable(const std::string &service, steady::time_point now) const
+{
+    return earliest(service, [now](const target_link &link) { return std::max(now, link.health.availableAt()); });
+}
+
 std::optional<steady::time_point> target_pool::earliestPermitted(const std::string &service, steady::time_point now) const
 {
-    if (m_context.limits.isEmpty()) {
-        return earliestAvailable(service, now);
-    }
-    std::optional<steady::time_point> first;
-    for (const target_link_ptr &link : usable(service)) {
-        if (!m_context.dataCentres.isUnreachable(link->target.dataCentre)) {
-            const auto at = std::max({now, link->health.availableAt(), m_context.limits.availableAt(link->target.id)});
-            first = first ? std::min(*first, at) : at;
-        }
-    }
-    return first;
+    return earliest(service, [this, now](const target_link &link) {
+        return std::max({now, link.health.availableAt(), m_context.limits.availableAt(link.target.id)});
+    });
 }
 
 bool target_pool::hasAvailable(const std::string &service, steady::time_point now, steady::time_point before) const
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -85,6 +85,11 @@
     double coldStartRate(const target_link &link, std::chrono::steady_clock::time_point now) const;
     bool isColdStartLimited(target_link &link, std::chrono::steady_clock::time_point now) const;
     bool isUsable(const target_link &link) const;
+    /// Returns the earliest of the given times of the usable targets in reachable data centres; empty without such a target.
+    template<typename time_of>
+    std::optional<std::chrono::steady_clock::time_point> earliest(const std::string &service, time_of availableAt) const;
+
+    /// When a target is available, without and with request limits.
     std::optional<std::chrono::steady_clock::time_point> earliestAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
     std::optional<std::chrono::steady_clock::time_point> earliestPermitted(const std::string &service, std::chrono::steady_clock::time_point now) const;
     double limitedRate(const std::string &service) const;
