End the probation of a refused request when it is answered completely

A popular path that was refused by mistake, because it was in flight at crashes, would be refused for longer and longer at each further crash within an hour. Cause: nothing showed that such a request crashes no targets. Change: a complete answer after the end of a refusal discards what was recorded. Before the end it doesn't: other requests may share the path and body. Also: at most 12 refusals and 12 limits a heartbeat, which keeps it within one datagram with the crashes, and ends of limits are announced for 10 s. Test: failed before (no such call).

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t MaxLostPerTarget = 32;
 /// These two keep a heartbeat within one datagram.
 constexpr std::size_t MaxAnnouncedCrashes = 12;
-constexpr std::size_t MaxAnnouncedRefusals = 16;
+constexpr std::size_t MaxAnnouncedRefusals = 12;
 /// Targets also crash for other reasons while unrelated requests are in flight. Crashes of three targets with two different requests of the same
 /// fingerprint are unlikely to be a coincidence.
 constexpr quarantine_thresholds CrashThresholds{3, 2};
@@ -178,6 +178,13 @@
     return m_decisions;
 }
 
+void crash_tracker::onCompleted(const outgoing_request &request, time_point now)
+{
+    if (!m_quarantine.isEmpty()) {
+        m_quarantine.onCompleted(request.fingerprint(), now);
+    }
+}
+
 bool crash_tracker::isSuspected(const outgoing_request &request, time_point now) const
 {
     return !m_quarantine.isEmpty() && m_quarantine.isSuspected(request.fingerprint(), now);
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -60,6 +60,9 @@
     /// instances.
     std::uint64_t decisions() const;
 
+    /// To be called when the request was answered completely.
+    void onCompleted(const outgoing_request &request, time_point now);
+
     /// True when an earlier request with the same content was in flight at enough crashed targets to be refused if this one crashes a target too.
     bool isSuspected(const outgoing_request &request, time_point now) const;
 
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -133,6 +133,7 @@
     std::erase(m_attempts, attempt);
     if (result.outcome == attempt_outcome::Success) {
         m_statistics.latency.add(result.duration);
+        m_context.crashes.onCompleted(*m_request.outgoing, boot_clock::now());
         forwardResponse(request_outcome::Complete, result.response);
         return;
     }
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -405,6 +405,9 @@
     response.fields.push_back({std::string(platform_header::MissingParts), std::to_string(missing)});
     response.fields.push_back({"Content-Type", "application/octet-stream"});
     response.body = m_records.greatest(gather().recordCount);
+    if (missing == 0) {
+        m_context.crashes.onCompleted(*m_request.outgoing, boot_clock::now());
+    }
     finish(missing == 0 ? request_outcome::Complete : request_outcome::Partial, response);
 }
 
--- a/node/target_limits.cpp
+++ b/node/target_limits.cpp
@@ -21,9 +21,9 @@
 /// A limit is forgotten this long after the last response or announcement that named it, besides the time between two requests of one owner.
 constexpr std::chrono::seconds OutdatedAfter{30};
 /// The end of a limit is announced for this long.
-constexpr std::chrono::seconds EndAnnouncePeriod{5};
+constexpr std::chrono::seconds EndAnnouncePeriod{10};
 /// Keeps a heartbeat within one datagram.
-constexpr std::size_t MaxAnnounced = 16;
+constexpr std::size_t MaxAnnounced = 12;
 
 } // namespace
 
--- a/quarantine/quarantine.cpp
+++ b/quarantine/quarantine.cpp
@@ -101,6 +101,14 @@
     return std::chrono::ceil<std::chrono::milliseconds>(found->second.refusedUntil - now);
 }
 
+void quarantine::onCompleted(std::uint64_t fingerprint, time_point now)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end() && isOnProbation(found->second, now)) {
+        m_suspects.erase(found);
+    }
+}
+
 bool quarantine::isSuspected(std::uint64_t fingerprint, time_point now) const
 {
     const auto found = m_suspects.find(fingerprint);
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -61,6 +61,10 @@
     /// Remaining time of the refusal; zero when the fingerprint isn't refused.
     std::chrono::milliseconds refusedFor(std::uint64_t fingerprint, time_point now) const;
 
+    /// To be called when a request with the fingerprint was answered completely. After the end of a refusal this shows that it crashes targets no more, and
+    /// what was recorded is discarded. No effect before: other requests may share the fingerprint.
+    void onCompleted(std::uint64_t fingerprint, time_point now);
+
     /// True when the fingerprint crashed as many targets as a refusal needs, but not yet with as many requests.
     bool isSuspected(std::uint64_t fingerprint, time_point now) const;
 
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -61,6 +61,13 @@
     other.merge({7, 30000}, Start);
     other.recordCrash(7, "e", Start + 40s, "r4");
     CHECK_MESSAGE(other.refusedFor(7, Start + 40s) == 4min, "an instance that knows the refusal only from a peer");
+    quarantine innocent(1min, 16, {3, 2}, 1h);
+    innocent.merge({7, 30000}, Start);
+    innocent.onCompleted(7, Start + 20s);
+    CHECK_MESSAGE(innocent.isRefused(7, Start + 25s), "a request that was in flight at the verdict");
+    innocent.onCompleted(7, Start + 35s);
+    innocent.recordCrash(7, "e", Start + 40s, "r4");
+    CHECK_MESSAGE(innocent.refusedFor(7, Start + 40s).count() == 0, "a request that was answered after its refusal");
     const auto calm = Start + 2h;
     records.recordCrash(7, "f", calm, "r5");
     CHECK_MESSAGE(records.refusedFor(7, calm).count() == 0, "a crash after a long time without any is not enough evidence");
