Bound what limits and refusals add to heartbeats

Nothing seen; computed while checking against the target of 400 nodes (2 KB/s for control): with 28 senders the filter and limits in each heartbeat are 67 times up to 450 bytes a second at each sender, and half of that at instances that need none of it. Change: reports go out with one heartbeat in S / 4 for S senders, with a filter of 32 bytes, two limits and four refusals: at most 1.4 KB/s at a sender, computed. Until the first reports are in (4 s) all senders share a new limit.

--- a/node/crash_tracker.cpp
+++ b/node/crash_tracker.cpp
@@ -19,9 +19,12 @@
 constexpr std::chrono::hours LongestRefusalPeriod{1};
 constexpr std::size_t MaxFingerprints = 256;
 constexpr std::size_t MaxLostPerTarget = 32;
-/// These two keep a heartbeat within one datagram.
+/// Keeps a heartbeat within one datagram.
 constexpr std::size_t MaxAnnouncedCrashes = 12;
-constexpr std::size_t MaxAnnouncedRefusals = 12;
+/// Limits the traffic of heartbeats.
+constexpr std::size_t MaxAnnouncedRefusals = 4;
+/// Keeps the instance's entry in the store small.
+constexpr std::size_t MaxCurrentRefusals = 64;
 /// Targets also crash for other reasons while unrelated requests are in flight. Crashes of three targets with two different requests of the same
 /// fingerprint are unlikely to be a coincidence.
 constexpr quarantine_thresholds CrashThresholds{3, 2};
@@ -169,7 +172,19 @@
     std::sort(current.begin(), current.end(), [](const peer_refusal &left, const peer_refusal &right) {
         return left.remainingMilliseconds > right.remainingMilliseconds;
     });
-    current.resize(std::min(current.size(), MaxAnnouncedRefusals));
+    current.resize(std::min(current.size(), MaxCurrentRefusals));
+    return current;
+}
+
+std::vector<peer_refusal> crash_tracker::nextRefusals(time_point now)
+{
+    std::vector<peer_refusal> current = currentRefusals(now);
+    if (current.size() > MaxAnnouncedRefusals) {
+        m_nextRefusal %= current.size();
+        std::rotate(current.begin(), current.begin() + static_cast<std::ptrdiff_t>(m_nextRefusal), current.end());
+        current.resize(MaxAnnouncedRefusals);
+        m_nextRefusal += MaxAnnouncedRefusals;
+    }
     return current;
 }
 
--- a/node/crash_tracker.h
+++ b/node/crash_tracker.h
@@ -56,6 +56,9 @@
     /// Returns the refusals to announce to peers, whether this instance or another one decided them; those that last longest first.
     std::vector<peer_refusal> currentRefusals(time_point now) const;
 
+    /// Returns a few of currentRefusals(), others at the next call.
+    std::vector<peer_refusal> nextRefusals(time_point now);
+
     /// Number of refusals that this instance decided on crashes that it noticed itself. Each change has to be stored, so that it survives a restart of all
     /// instances.
     std::uint64_t decisions() const;
@@ -94,6 +97,7 @@
     std::unordered_map<std::string, std::vector<lost_request>> m_lostRequests; ///< Key: target.
     std::vector<local_crash> m_localCrashes;
     std::uint64_t m_decisions = 0;
+    std::size_t m_nextRefusal = 0; ///< Where nextRefusals() continues.
 };
 
 } // namespace balsamhook
--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -57,9 +57,9 @@
     std::vector<std::string> knownAddresses; ///< Of other instances; empty in most heartbeats.
     std::vector<peer_crash> crashes; ///< Detected by the instance in the last seconds.
     bool isImpaired = false; ///< At least one route can't be served because of unreachable data centres.
-    std::vector<peer_refusal> refusals; ///< All that the instance knows, so that instances that started later learn of them too.
-    std::string limitDemand; ///< demand_filter of the limited targets that the instance has requests for; empty: none.
-    std::vector<peer_limit> limits; ///< A part of the limits that others can't learn from the targets' responses.
+    std::vector<peer_refusal> refusals; ///< Some of those that the instance knows, so that instances that started later learn of them too.
+    std::string limitDemand; ///< demand_filter of the limited targets that the instance has requests for; empty: unchanged.
+    std::vector<peer_limit> limits; ///< Some of the limits that others can't learn from the targets' responses.
 
     MSGPACK_DEFINE_ARRAY(version,
                          instance,
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds DiscoveryTimeout{1200};
 constexpr std::chrono::milliseconds MinDiscoveryPeriod{150};
 constexpr std::chrono::milliseconds QuietPeriod{100}; ///< Time without a new peer after which discovery counts as complete.
+/// Limits, refusals and demand go out with one heartbeat in as many as there are times this many senders, so that what an instance receives of them doesn't
+/// grow with the fleet.
+constexpr std::uint64_t SendersPerReport = 4;
 constexpr std::chrono::milliseconds StartupPeriod{2000}; ///< An instance that has just started sends heartbeats to all known addresses.
 constexpr std::chrono::milliseconds ListTimeout{2500};
 constexpr std::chrono::milliseconds InitialRetryDelay{200};
@@ -137,14 +140,33 @@
             now);
         // A peer that has just started gets a heartbeat with the known addresses at once, not only with the next regular one.
         sendTo(status.address, true);
+        sendDatagram(status.address, encodeReport());
         updateSenders(now);
     }
 }
 
 std::string peer_task::encode(bool withAddresses) const
 {
-    const platform_settings &settings = m_context.settings;
+    return encode(peer_heartbeat(), withAddresses);
+}
+
+std::string peer_task::encodeReport()
+{
     peer_heartbeat heartbeat;
+    heartbeat.limitDemand = m_context.limits.demand(clock::now());
+    heartbeat.limits = m_context.limits.announcements(clock::now());
+    heartbeat.refusals = m_context.crashes.nextRefusals(boot_clock::now());
+    return encode(std::move(heartbeat), false);
+}
+
+std::uint64_t peer_task::reportInterval() const
+{
+    return (m_senders.size() + SendersPerReport - 1) / SendersPerReport;
+}
+
+std::string peer_task::encode(peer_heartbeat heartbeat, bool withAddresses) const
+{
+    const platform_settings &settings = m_context.settings;
     heartbeat.instance = settings.instance;
     heartbeat.incarnation = m_incarnation;
     heartbeat.address = settings.address;
@@ -157,9 +179,6 @@
     heartbeat.intervalMilliseconds = static_cast<std::uint32_t>(heartbeatInterval().count());
     heartbeat.targetDataCentres = m_status.targetDataCentres;
     heartbeat.crashes = m_context.crashes.recentCrashes(boot_clock::now());
-    heartbeat.limitDemand = m_context.limits.demand(clock::now());
-    heartbeat.limits = m_limitAnnouncements;
-    heartbeat.refusals = m_context.crashes.currentRefusals(boot_clock::now());
     if (withAddresses) {
         heartbeat.knownAddresses = m_peers.addresses();
         std::shuffle(heartbeat.knownAddresses.begin(), heartbeat.knownAddresses.end(), m_context.random);
@@ -200,7 +219,12 @@
     }
     m_nextStandbyHeartbeatAt = isStandbyHeartbeatDue ? now + StandbyInterval : m_nextStandbyHeartbeatAt;
     m_includesStandby = !m_includesStandby;
-    const std::string datagram = encode(false);
+    const std::string plain = encode(false);
+    const std::uint64_t interval = std::max<std::uint64_t>(1, reportInterval());
+    const std::string toSenders = m_tick % interval == 0 ? encodeReport() : plain;
+    // Standby instances get every second heartbeat.
+    const std::string toStandby = m_tick / 2 % interval == 0 ? encodeReport() : plain;
+    ++m_tick;
     std::set<std::string> addressesWithoutHeartbeat;
     for (const std::string &address : m_peers.addresses()) {
         addressesWithoutHeartbeat.insert(address);
@@ -209,7 +233,7 @@
         addressesWithoutHeartbeat.erase(peer.status.address);
         const bool isPeerSender = m_senders.count(peer.status.instance) > 0;
         if (isPeerSender || (isSender() && m_includesStandby)) {
-            sendDatagram(peer.status.address, datagram);
+            sendDatagram(peer.status.address, isPeerSender ? toSenders : toStandby);
         }
     }
     // Addresses without a heartbeat are those of seeds that are still starting, or come from peers or from the store.
@@ -228,7 +252,6 @@
         m_context.log.write(event_class::StateChange, event_line("peers", "peer_lost").add("peer", lost).add("sender", wasSender), now);
     }
     updateSenders(now);
-    m_limitAnnouncements = m_context.limits.announcements(now);
     sendHeartbeats(now);
     maintainRegistration(now);
     m_ticker = m_context.timers.start(now + HeartbeatInterval, [this] { tick(); });
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -77,6 +77,9 @@
     void sendTo(const std::string &address, bool withAddresses);
     void sendDatagram(const std::string &address, const std::string &datagram);
     std::string encode(bool withAddresses) const;
+    std::string encodeReport();
+    std::string encode(peer_heartbeat heartbeat, bool withAddresses) const;
+    std::uint64_t reportInterval() const;
     std::chrono::milliseconds heartbeatInterval() const;
     void maintainRegistration(clock::time_point now);
     nlohmann::json registration() const;
@@ -95,7 +98,7 @@
     instance_status m_status;
     std::set<std::string> m_senders;
     std::uint64_t m_incarnation;
-    std::vector<peer_limit> m_limitAnnouncements; ///< For the heartbeats until the next tick.
+    std::uint64_t m_tick = 0;
     bool m_includesStandby = false; ///< Alternates: a sender sends every second heartbeat to standby instances too.
     clock::time_point m_startedAt{};
     clock::time_point m_lastNewPeerAt{};
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -153,8 +153,9 @@
     for (const peer_table::peer &peer : m_peers.peers().alive(now)) {
         const peer_status &status = peer.status;
         // An instance that has ceased to be a sender may still have callers.
-        if (m_peers.senders().count(status.instance) > 0 || !status.limitDemand.empty()) {
-            peers.push_back({status.instance, demand_filter::decode(status.limitDemand)});
+        const demand_filter demand = demand_filter::decode(status.limitDemand);
+        if (m_peers.senders().count(status.instance) > 0 || !demand.isEmpty()) {
+            peers.push_back({status.instance, demand});
         }
     }
     return peers;
--- a/node/target_limits.cpp
+++ b/node/target_limits.cpp
@@ -17,13 +17,13 @@
 /// limit change with each instance that comes or goes.
 constexpr std::chrono::seconds DemandPeriod{8};
 /// Until heartbeats tell which instances have requests for a target that has just named a limit, all are taken to have some.
-constexpr std::chrono::milliseconds InitialPeriod{1500};
+constexpr std::chrono::milliseconds InitialPeriod{4000};
 /// A limit is forgotten this long after the last response or announcement that named it, besides the time between two requests of one owner.
 constexpr std::chrono::seconds OutdatedAfter{30};
 /// The end of a limit is announced for this long.
 constexpr std::chrono::seconds EndAnnouncePeriod{10};
-/// Keeps a heartbeat within one datagram.
-constexpr std::size_t MaxAnnounced = 12;
+/// Limits the traffic of heartbeats.
+constexpr std::size_t MaxAnnounced = 2;
 
 } // namespace
 
--- a/routing/limit_share.cpp
+++ b/routing/limit_share.cpp
@@ -33,10 +33,15 @@
     return (m_bits[bit / 8] >> (bit % 8) & 1U) != 0;
 }
 
+bool demand_filter::isEmpty() const
+{
+    return std::all_of(m_bits.begin(), m_bits.end(), [](std::uint8_t byte) { return byte == 0; });
+}
+
 std::string demand_filter::encode() const
 {
-    if (std::all_of(m_bits.begin(), m_bits.end(), [](std::uint8_t byte) { return byte == 0; })) {
-        return {};
+    if (isEmpty()) {
+        return std::string(1, '\0');
     }
     return {m_bits.begin(), m_bits.end()};
 }
--- a/routing/limit_share.h
+++ b/routing/limit_share.h
@@ -18,14 +18,16 @@
     void add(std::string_view targetId);
     bool contains(std::string_view targetId) const;
 
-    /// Returns the filter for a message; empty when no target was added.
+    bool isEmpty() const;
+
+    /// Returns the filter for a message; a single byte when no target was added.
     std::string encode() const;
 
     /// Returns a filter without targets when the bytes were not made by encode().
     static demand_filter decode(std::string_view bytes);
 
 private:
-    static constexpr std::size_t Bytes = 64;
+    static constexpr std::size_t Bytes = 32;
 
     std::array<std::uint8_t, Bytes> m_bits{};
 };
--- a/routing/peer_table.cpp
+++ b/routing/peer_table.cpp
@@ -21,7 +21,11 @@
         return false;
     }
     const bool isNew = known.status.incarnation != status.incarnation || !isAlive(known, now);
+    const std::string previousDemand = known.status.incarnation == status.incarnation ? known.status.limitDemand : std::string();
     known.status = status;
+    if (known.status.limitDemand.empty()) {
+        known.status.limitDemand = previousDemand;
+    }
     known.lastHeartbeatAt = now;
     m_wasAlive[status.instance] = true;
     return isNew;
--- a/routing/peer_table.h
+++ b/routing/peer_table.h
@@ -25,7 +25,7 @@
     std::size_t maxSenders = 0; ///< Limit of senders derived from the targets' connection limits; 0: unknown.
     std::chrono::milliseconds interval{0}; ///< Announced time until its next heartbeat.
     std::vector<std::string> targetDataCentres; ///< Data centres with enough targets to direct callers there; empty: unknown.
-    std::string limitDemand; ///< Encoded demand_filter; empty: no requests for limited targets.
+    std::string limitDemand; ///< Encoded demand_filter; empty: not known.
 };
 
 /// The peers of this instance and the times of their last heartbeats. Pure logic; not thread-safe.
