Let the store clients of the peer tests outlive the calls of ended tasks

Seen once: SIGSEGV in node_test, at the test that ends an instance. Cause, shown by the address sanitizer in three of three runs: the test destroyed the client of the store while the task's read of the member list was in flight, against the client's precondition; the program keeps its client until the end. The tests keep theirs until the event loop has run for the last time.

--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -12,15 +12,30 @@
 
 constexpr std::uint16_t PeerPort = 27391;
 
-/// An instance on its own loopback address. Precondition: the store outlives it.
-struct simulated_instance
+/// What a task uses; calls to the store that a task has begun may end after it.
+struct instance_environment
 {
-    simulated_instance(
-        boost::asio::io_context &io, timer_queue &timers, const endpoint &store, int number, const std::vector<int> &seeds, peer_timings timings = {})
+    instance_environment(boost::asio::io_context &io, timer_queue &timers, const endpoint &store)
         : log(node_fixture::logFile(), "test")
         , context{io, timers, log, metrics, settings, retry_budget({1.0, 100, 10s}, std::chrono::steady_clock::now())}
         , storeClient(store, metrics)
     {
+    }
+
+    event_log log;
+    counters metrics;
+    platform_settings settings;
+    node_context context;
+    metadata_store storeClient;
+};
+
+/// An instance on its own loopback address. Precondition: the environment outlives the event loop's last run.
+struct simulated_instance
+{
+    simulated_instance(instance_environment &environment, int number, const std::vector<int> &seeds, peer_timings timings = {})
+        : context(environment.context)
+    {
+        platform_settings &settings = environment.settings;
         settings.instance = "i" + std::to_string(number);
         settings.address = addressOf(number);
         settings.dataCentre = "dc1";
@@ -29,7 +44,7 @@
         for (const int seed : seeds) {
             settings.seeds.push_back(addressOf(seed));
         }
-        task = std::make_unique<peer_task>(context, storeClient, timings);
+        task = std::make_unique<peer_task>(context, environment.storeClient, timings);
         REQUIRE(task->start().has_value());
     }
 
@@ -43,11 +58,7 @@
         return task->peers().alive(std::chrono::steady_clock::now()).size();
     }
 
-    event_log log;
-    counters metrics;
-    platform_settings settings;
-    node_context context;
-    metadata_store storeClient;
+    node_context &context;
     std::unique_ptr<peer_task> task;
 };
 
@@ -61,7 +72,8 @@
 
     std::unique_ptr<simulated_instance> make(int number, const std::vector<int> &seeds, peer_timings timings = {})
     {
-        return std::make_unique<simulated_instance>(io, timers, store.address(), number, seeds, timings);
+        environments.push_back(std::make_unique<instance_environment>(io, timers, store.address()));
+        return std::make_unique<simulated_instance>(*environments.back(), number, seeds, timings);
     }
 
     void registerMember(int number)
@@ -70,6 +82,7 @@
     }
 
     metadata_service store;
+    std::vector<std::unique_ptr<instance_environment>> environments;
 };
 
 outgoing_request makeRequest(const std::string &id)
