Answer or refuse everything that is taken during a planned stop

Cause: no rule for what is taken during the grace. Everything was taken until 4.4 s, the process ended at 5.6 s with requests in flight, and a request that lay in the socket's buffer when idle connections were closed was read and dropped.

Evidence: node/planned_stop_test.cpp failed in 7 of 9 cases on the old behaviour: status 200 of a request passed on late (503 wanted), 0 for requests in flight at the end, 0 for a request sent before the idle close, connection ended by an interim response.

Change: one plan for the whole grace (node/stop_plan, pure; node/planned_stop). Late requests run only if they end within it, else "not run" at once; what is in flight is answered 250 ms before the kill; idle connections with bytes waiting are served first, and a crossing request gets a reset.

Ruled out: rolling stops of seven instances with 120 ms work lost nothing before the change on this machine (2,658 requests), also with a second SIGTERM and SIGHUP, so the users' LOST of short requests is only suspected to be this.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -119,7 +119,7 @@
 
 void caller_connection::process()
 {
-    if (m_busy || m_closed || m_lingering || m_unparsed.empty()) {
+    if (m_busy || m_closed || m_hasRespondedLast || m_unparsed.empty()) {
         return;
     }
     if (!m_reader.hasStarted()) {
@@ -167,6 +167,7 @@
     }
     BALSAM_ASSERT(m_busy);
     m_closeAfter = m_closeAfter || closeAfter;
+    m_hasRespondedLast = m_closeAfter;
     m_busy = false;
     m_idleSince = clock::now();
     send(serialize(response, m_closeAfter));
@@ -227,7 +228,7 @@
 {
     m_outgoing.clear();
     m_written = 0;
-    if (m_closeAfter && !m_busy && !m_lingering) {
+    if (m_hasRespondedLast && !m_lingering) {
         lingerAndClose();
     }
 }
@@ -245,11 +246,18 @@
 void caller_connection::closeWhenIdle()
 {
     m_closeAfter = true;
-    if (!m_busy && !m_closed && !m_lingering && !m_reader.hasStarted() && m_outgoing.empty()) {
-        lingerAndClose();
+    const bool isIdle = !m_busy && !m_closed && !m_hasRespondedLast && !m_reader.hasStarted() && m_unparsed.empty() && m_outgoing.empty();
+    if (isIdle && !hasUnreadBytes()) {
+        close();
     }
 }
 
+bool caller_connection::hasUnreadBytes() const
+{
+    boost::system::error_code failed;
+    return m_socket.available(failed) > 0 && !failed;
+}
+
 void caller_connection::armTimer(clock::time_point due)
 {
     m_timers.stop(m_timer);
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -58,7 +58,8 @@
     /// was called. Has no effect on a closed connection. Precondition: a request is in flight, or the connection is closed.
     void respond(const caller_response &response, bool closeAfter);
 
-    /// Closes the connection if no request is in flight or partly received; otherwise after the next response.
+    /// Closes the connection if no byte of a request has arrived since the last response; otherwise after the next response. A request that crosses the close
+    /// is answered with a reset, by which the caller knows that it wasn't read.
     void closeWhenIdle();
 
     /// Closes the connection immediately and calls onClosed. Idempotent.
@@ -77,6 +78,7 @@
     void send(std::string bytes);
     void writeRemaining();
     void onWritten();
+    bool hasUnreadBytes() const;
     void lingerAndClose();
     void onTimer();
     void armTimer(clock::time_point due);
@@ -97,6 +99,7 @@
     bool m_busy = false; ///< A request is in flight: onRequest was called, and respond() not yet.
     bool m_reading = false;
     bool m_closeAfter = false;
+    bool m_hasRespondedLast = false; ///< A response that ends keep-alive was passed to send(); no further request is read.
     bool m_lingering = false;
     bool m_closed = false;
     bool m_sentContinue = false;
--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -183,7 +183,7 @@
                        request.outgoing->requestId());
         return;
     }
-    if (refuseIfOverloaded(connection, request, statistics)) {
+    if (refuseIfLeaving(connection, request, statistics) || refuseIfOverloaded(connection, request, statistics)) {
         return;
     }
     run(connection, std::move(request), statistics);
@@ -214,7 +214,23 @@
                             .add("config", request.configuration->version())
                             .add("status", response.status),
                         clock::now());
-    connection->respond(response, m_leaving);
+    connection->respond(response, m_stopPlan.has_value());
+    return true;
+}
+
+bool caller_service::refuseIfLeaving(const caller_connection::pointer &connection, const incoming_request &request, const route_statistics &statistics)
+{
+    if (!m_stopPlan) {
+        return false;
+    }
+    // A query is usually answered with the parts that are in by the objective.
+    const bool isGather = std::holds_alternative<gather_destination>(request.matched->destination);
+    const std::chrono::microseconds usual = isGather ? std::chrono::microseconds(request.matched->objective) : statistics.latency.percentile90();
+    const bool isIdempotent = request.matched->repeat == repeat_rule::Idempotent;
+    if (m_stopPlan->admits(request.arrivedAt, {request.responseDeadline, usual, isIdempotent})) {
+        return false;
+    }
+    respondLocally(connection, refusalResponse("instance is shutting down", m_leavingRetryAfter()), "leaving", request.outgoing->requestId());
     return true;
 }
 
@@ -279,11 +295,12 @@
 void caller_service::run(const caller_connection::pointer &connection, incoming_request request, route_statistics &statistics)
 {
     const bool isGather = std::holds_alternative<gather_destination>(request.matched->destination);
-    running_request running{request.outgoing->requestId(), request.matched->name, request.configuration->version(), isGather, request.arrivedAt, {}};
+    running_request running{request.outgoing->requestId(), request.matched->name, request.configuration->version(), isGather, request.arrivedAt, {}, {}};
     const response_handler responseHandler
         = [this, connection](request_outcome outcome, const caller_response &response) { respond(connection, outcome, response); };
     const auto start = [&](auto started) {
         running.cancel = [started] { started->cancel(); };
+        running.expire = [started] { started->expire(); };
         m_running.insert_or_assign(connection.get(), std::move(running));
         started->start();
     };
@@ -303,7 +320,7 @@
     const running_request ended = std::move(found->second);
     m_running.erase(found);
     recordEnd(ended, outcome, response.status);
-    connection->respond(response, m_leaving);
+    connection->respond(response, m_stopPlan.has_value());
 }
 
 void caller_service::respondLocally(const caller_connection::pointer &connection,
@@ -314,7 +331,7 @@
     m_context.metrics.add(std::string("requests_refused_total{reason=\"").append(reason).append("\"}"));
     m_context.log.write(
         event_class::Decision, event_line("callers", "refused").add("id", requestId).add("reason", reason).add("status", response.status), clock::now());
-    connection->respond(response, m_leaving);
+    connection->respond(response, m_stopPlan.has_value());
 }
 
 void caller_service::recordEnd(const running_request &ended, request_outcome outcome, unsigned status)
@@ -349,14 +366,15 @@
     recordEnd(ended, request_outcome::CallerLeft, 0);
 }
 
-void caller_service::startLeaving()
+void caller_service::startLeaving(const stop_plan &plan, std::function<std::chrono::milliseconds()> retryAfter)
 {
-    m_leaving = true;
+    BALSAM_ASSERT(!m_stopPlan);
+    m_stopPlan = plan;
+    m_leavingRetryAfter = std::move(retryAfter);
 }
 
 void caller_service::closeIdleConnections()
 {
-    m_leaving = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     std::vector<caller_connection::pointer> open;
@@ -369,6 +387,19 @@
     }
 }
 
+void caller_service::endRequests()
+{
+    BALSAM_ASSERT(m_stopPlan.has_value());
+    std::vector<std::function<void()>> pending;
+    pending.reserve(m_running.size());
+    for (const auto &[connection, running] : m_running) {
+        pending.push_back(running.expire);
+    }
+    for (const auto &expire : pending) {
+        expire();
+    }
+}
+
 std::size_t caller_service::requestsInFlight() const
 {
     return m_running.size();
--- a/node/caller_service.h
+++ b/node/caller_service.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "node/caller_request.h"
+#include "node/stop_plan.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -31,12 +33,16 @@
     /// the first request arrives.
     void setRequestListener(std::function<void()> handler);
 
-    /// Closes connections after their next response, so that callers connect to another instance.
-    void startLeaving();
+    /// Closes connections after their next response, so that callers connect to another instance, and refuses requests that the plan doesn't admit.
+    /// retryAfter returns when a refused caller finds another instance. Precondition: called at most once.
+    void startLeaving(const stop_plan &plan, std::function<std::chrono::milliseconds()> retryAfter);
 
     /// Closes idle connections and stops accepting new ones; requests in flight are completed.
     void closeIdleConnections();
 
+    /// Responds to all requests in flight at once. Precondition: startLeaving() was called.
+    void endRequests();
+
     std::size_t requestsInFlight() const;
     std::size_t connections() const;
 
@@ -51,6 +57,7 @@
         bool isGather = false;
         clock::time_point arrivedAt;
         std::function<void()> cancel;
+        std::function<void()> expire;
     };
 
     void accept();
@@ -60,6 +67,7 @@
     bool refuseIfUnroutable(const caller_connection::pointer &connection, const http_message &message, const route *matched);
     incoming_request makeIncomingRequest(const http_message &message, const route &matched, route_statistics &statistics) const;
     bool refuseIfOverloaded(const caller_connection::pointer &connection, const incoming_request &request, const route_statistics &statistics);
+    bool refuseIfLeaving(const caller_connection::pointer &connection, const incoming_request &request, const route_statistics &statistics);
     void run(const caller_connection::pointer &connection, incoming_request request, route_statistics &statistics);
     void respond(const caller_connection::pointer &connection, request_outcome outcome, const caller_response &response);
     void respondLocally(const caller_connection::pointer &connection, const caller_response &response, std::string_view reason, std::string_view requestId);
@@ -77,7 +85,8 @@
     unsigned m_minQueryPriority = 0; ///< Smallest priority value, the most urgent one, of the gather routes.
     std::function<void()> m_requestListener;
     clock::time_point m_startedAt = clock::now();
-    bool m_leaving = false;
+    std::optional<stop_plan> m_stopPlan; ///< Set once the instance is leaving.
+    std::function<std::chrono::milliseconds()> m_leavingRetryAfter;
 };
 
 } // namespace balsamhook
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -274,6 +274,16 @@
     m_attempts.clear();
 }
 
+void forward_request::expire()
+{
+    if (m_isOver) {
+        return;
+    }
+    const auto now = clock::now();
+    m_request.responseDeadline = now;
+    respondWithFailure(now);
+}
+
 void forward_request::finish(request_outcome outcome, const caller_response &response)
 {
     m_isOver = true;
--- a/node/forward_request.h
+++ b/node/forward_request.h
@@ -23,6 +23,9 @@
     /// called.
     void cancel();
 
+    /// Ends the request at once, because the process is about to exit: responds that it timed out, or that it did not run if no target can have run it.
+    void expire();
+
 private:
     using clock = std::chrono::steady_clock;
 
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -438,6 +438,17 @@
     end(true);
 }
 
+void gather_request::expire()
+{
+    if (m_isOver) {
+        return;
+    }
+    const auto now = clock::now();
+    m_request.objectiveDeadline = now;
+    m_request.responseDeadline = now;
+    decide(now);
+}
+
 void gather_request::end(bool shouldCancel)
 {
     m_isOver = true;
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -23,6 +23,9 @@
     /// To be called when the caller has disconnected. Cancels all attempts in flight; the response handler isn't called.
     void cancel();
 
+    /// Ends the query at once, because the process is about to exit: responds with the parts that have arrived, if they suffice.
+    void expire();
+
 private:
     using clock = std::chrono::steady_clock;
 
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -20,12 +20,12 @@
 constexpr std::chrono::seconds UnusedCatalogueRetentionPeriod{1}; ///< While no callers are connected.
 /// Limits how long callers that use the directory keep the address of an instance that is shutting down.
 constexpr std::chrono::milliseconds MaxAddressTtl{1000};
-/// An instance that is shutting down closes idle connections this long before the platform kills it.
-constexpr std::chrono::milliseconds IdleCloseLeadTime{1600};
-/// An instance that is shutting down exits this long before the platform kills it, even with requests in flight.
-constexpr std::chrono::milliseconds ExitLeadTime{400};
 /// Time that a registration takes to arrive here through the store.
 constexpr std::chrono::milliseconds RegistrationMargin{300};
+/// Retry-After of a leaving instance while others serve.
+constexpr std::chrono::milliseconds OtherInstanceRetryAfter{30};
+/// Retry-After of a leaving instance while no other serves: those that left before it are back by then.
+constexpr std::chrono::milliseconds NoInstanceRetryAfter{1000};
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned NotFound = 404;
 
@@ -56,6 +56,7 @@
     , m_callers(m_context, m_pool)
     , m_peers(m_context, m_store)
     , m_catalogue(m_context, m_store, catalogueHandlers())
+    , m_stop(m_context, m_callers, stopHandlers())
     , m_directoryServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return resolve(std::move(request)); })
     , m_readinessServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return checkReadiness(std::move(request)); })
     , m_internalServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return serveInternal(std::move(request)); })
@@ -104,7 +105,7 @@
 
 bool query_node::isServing() const
 {
-    return m_catalogue.isReady() && !m_isLeaving;
+    return m_catalogue.isReady() && !m_stop.hasStarted();
 }
 
 void query_node::updateCatalogueActivity(clock::time_point now)
@@ -207,7 +208,7 @@
     if (request.path != ReadyPath) {
         co_return errorResponse(NotFound, "unknown path");
     }
-    co_return isServing() ? textResponse(200, "ready\n") : errorResponse(ServiceUnavailable, m_isLeaving ? "leaving" : "starting");
+    co_return isServing() ? textResponse(200, "ready\n") : errorResponse(ServiceUnavailable, m_stop.hasStarted() ? "leaving" : "starting");
 }
 
 asio::awaitable<http_response> query_node::serveInternal(http_request request)
@@ -289,9 +290,6 @@
         m_settingsCheckedAt = now;
         reload("file");
     }
-    if (m_isLeaving) {
-        checkLeaving();
-    }
     m_log.flush();
     m_timers.start(now + (now - m_startedAt < StartupPeriod ? StartupHousekeepingInterval : HousekeepingInterval), [this] { housekeeping(); });
 }
@@ -336,33 +334,24 @@
     m_log.write(event_class::StateChange, event_line("node", "reload").add("trigger", reason).add("changed", !isUnchanged), clock::now());
 }
 
-void query_node::startLeaving()
+planned_stop::handlers query_node::stopHandlers()
 {
-    if (m_isLeaving) {
-        return;
-    }
-    m_isLeaving = true;
-    m_leavingSince = clock::now();
-    m_log.write(
-        event_class::StateChange, event_line("node", "stop").add("in_flight", static_cast<std::uint64_t>(m_callers.requestsInFlight())), m_leavingSince);
-    m_callers.startLeaving();
-    m_peers.setStatus(localStatus());
-    m_log.flush();
+    planned_stop::handlers handlers;
+    handlers.retryAfter = [this] { return retryAfterLeaving(); };
+    handlers.onFinished = [this] { m_io.stop(); };
+    return handlers;
 }
 
-void query_node::checkLeaving()
+std::chrono::milliseconds query_node::retryAfterLeaving() const
 {
-    const auto elapsed = clock::now() - m_leavingSince;
-    if (elapsed < m_settings.stopGrace - IdleCloseLeadTime) {
-        return;
-    }
-    m_callers.closeIdleConnections();
-    const bool isIdle = m_callers.requestsInFlight() == 0 && m_callers.connections() == 0;
-    if (isIdle || elapsed >= m_settings.stopGrace - ExitLeadTime) {
-        m_log.write(
-            event_class::StateChange, event_line("node", "exit").add("in_flight", static_cast<std::uint64_t>(m_callers.requestsInFlight())), clock::now());
-        m_io.stop();
-    }
+    return placementCandidates().empty() ? NoInstanceRetryAfter : OtherInstanceRetryAfter;
+}
+
+void query_node::startLeaving()
+{
+    m_stop.start(m_settings.stopGrace);
+    m_peers.setStatus(localStatus());
+    m_log.flush();
 }
 
 } // namespace balsamhook
--- a/node/query_node.h
+++ b/node/query_node.h
@@ -3,6 +3,7 @@
 #include "node/caller_service.h"
 #include "node/catalogue_sync.h"
 #include "node/peer_task.h"
+#include "node/planned_stop.h"
 #include "node/target_reachability.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -46,8 +47,9 @@
     void housekeeping();
     void waitForSignal();
     void reload(std::string_view reason);
+    planned_stop::handlers stopHandlers();
+    std::chrono::milliseconds retryAfterLeaving() const;
     void startLeaving();
-    void checkLeaving();
 
     platform_settings m_settings;
     node_options m_options;
@@ -62,6 +64,7 @@
     caller_service m_callers;
     peer_task m_peers;
     catalogue_sync m_catalogue;
+    planned_stop m_stop;
     http_server m_directoryServer;
     http_server m_readinessServer;
     http_server m_internalServer;
@@ -69,8 +72,6 @@
     boost::asio::signal_set m_signals;
     std::shared_ptr<const routing_configuration> m_configuration;
     clock::time_point m_startedAt = clock::now();
-    bool m_isLeaving = false;
-    clock::time_point m_leavingSince{};
     clock::time_point m_catalogueActiveUntil{}; ///< The catalogue stays active until then, also on a standby instance.
     clock::time_point m_settingsCheckedAt{};
 };
