Let the store's revision decide which copy of the catalogue is newer

Cause: an instance that had been frozen handed its outdated catalogue to the others, which replaced their newer one without comparing, and continued their watch after the change that they had lost. An ended target could come back in the same way.

Change: catalogue/copy_progress holds through which revision a copy is complete and the newest that it reflects; a peer's copy is taken only if it is complete through a later one. Answers of the store older than what is known are dropped. An instance is ready only with the evacuations.

--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -2,5 +2,6 @@
 
 /// Public header of the catalogue library: the published configuration and the registered targets.
 
+#include "catalogue/copy_progress.h"
 #include "catalogue/routing_configuration.h"
 #include "catalogue/target_catalogue.h"
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -41,6 +41,15 @@
     return error{error_code::Closed, error_step::Store, {}, "catalogue sync was deactivated or reactivated during the call"};
 }
 
+/// Result of a call whose content isn't applied. That a peer's copy has replaced the local one meanwhile is no failure of the store.
+result<void> discardedResult(const copy_progress &progress, copy_progress::call_token call)
+{
+    if (progress.beginCall() != call) {
+        return success();
+    }
+    return error{error_code::Protocol, error_step::Store, {}, "the response is older than what was read before"};
+}
+
 } // namespace
 
 catalogue_sync::catalogue_sync(node_context &context, metadata_store &store, handlers callbacks)
@@ -72,9 +81,8 @@
     }
     m_isActive = isActive;
     ++m_activation;
-    m_hasTargets = false;
     for (watched_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
-        kind->isListed = false;
+        kind->progress.reset();
         kind->failingSince = clock::now();
     }
     m_probe.setActive(isActive);
@@ -99,7 +107,7 @@
 
 bool catalogue_sync::isReady() const
 {
-    return m_isActive && m_isConfigurationPublished && m_hasTargets;
+    return m_isActive && m_isConfigurationPublished && m_targetKind.progress.isComplete() && m_evacuationKind.progress.isComplete();
 }
 
 asio::awaitable<void> catalogue_sync::syncKind(watched_kind &kind)
@@ -111,7 +119,7 @@
             continue;
         }
         result<void> outcome = success();
-        if (kind.isListed) {
+        if (kind.progress.isListed()) {
             outcome = co_await watchOnce(kind);
         } else {
             outcome = co_await readList(kind);
@@ -126,7 +134,7 @@
             continue;
         }
         if (outcome.error().code == error_code::NotFound) {
-            kind.isListed = false;
+            kind.progress.onHistoryExpired();
             continue;
         }
         m_probe.reportFailure();
@@ -173,7 +181,7 @@
                                 event_line("catalogue", "store_recovered")
                                     .add("kind", kind.kind)
                                     .add("outage_ms", std::chrono::duration_cast<std::chrono::microseconds>(now - kind.failingSince))
-                                    .add("revision", kind.revision),
+                                    .add("revision", kind.progress.revisions().completeThrough),
                                 now);
         }
         if (&kind == &m_targetKind && !kind.isReachable) {
@@ -183,7 +191,9 @@
         return;
     }
     if (outcome.error().code == error_code::NotFound) {
-        m_context.log.write(event_class::StateChange, event_line("catalogue", "history_expired").add("kind", kind.kind).add("revision", kind.revision), now);
+        m_context.log.write(event_class::StateChange,
+                            event_line("catalogue", "history_expired").add("kind", kind.kind).add("revision", kind.progress.revisions().completeThrough),
+                            now);
         return;
     }
     if (outcome.error().code == error_code::Timeout) {
@@ -191,10 +201,12 @@
     }
     if (kind.isReachable) {
         kind.failingSince = now;
-        m_context.log.write(
-            event_class::StateChange,
-            event_line("catalogue", "store_unreachable").add("kind", kind.kind).add("reason", describe(outcome.error())).add("revision", kind.revision),
-            now);
+        m_context.log.write(event_class::StateChange,
+                            event_line("catalogue", "store_unreachable")
+                                .add("kind", kind.kind)
+                                .add("reason", describe(outcome.error()))
+                                .add("revision", kind.progress.revisions().completeThrough),
+                            now);
     }
     kind.isReachable = false;
 }
@@ -203,8 +215,9 @@
 {
     std::set<std::string> listed;
     std::string after;
-    std::uint64_t revision = 0;
+    std::uint64_t firstRevision = 0;
     const unsigned activation = m_activation;
+    const copy_progress::call_token call = kind.progress.beginCall();
     while (true) {
         const auto page = co_await m_store.list(kind.kind, after, read_mode::Current, std::max(kind.listTimeout, MinListTimeout));
         if (activation != m_activation) {
@@ -213,8 +226,10 @@
         if (!page) {
             co_return page.error();
         }
-        // The watch starts at the first page's revision, so that it repeats changes made while the later pages are read.
-        revision = revision == 0 ? page.value().revision : revision;
+        if (!kind.progress.acceptPage(call, page.value().revision)) {
+            co_return discardedResult(kind.progress, call);
+        }
+        firstRevision = firstRevision == 0 ? page.value().revision : firstRevision;
         for (const store_object &object : page.value().objects) {
             after = object.name;
             listed.insert(object.name);
@@ -225,8 +240,7 @@
         }
     }
     retain(kind.kind, listed);
-    kind.revision = revision;
-    kind.isListed = true;
+    kind.progress.onListed(firstRevision);
     co_return success();
 }
 
@@ -234,17 +248,20 @@
 {
     // After a failure a short watch detects the recovery at once; a long one would return only at the next change.
     const unsigned activation = m_activation;
-    const auto batch = co_await m_store.watch(kind.kind, kind.revision, kind.isReachable ? WatchTimeout : ProbeWatchTimeout);
+    const copy_progress::call_token call = kind.progress.beginCall();
+    const auto batch = co_await m_store.watch(kind.kind, kind.progress.revisions().completeThrough, kind.isReachable ? WatchTimeout : ProbeWatchTimeout);
     if (activation != m_activation) {
         co_return inactiveError();
     }
     if (!batch) {
         co_return batch.error();
     }
+    if (!kind.progress.acceptChanges(call, batch.value().revision)) {
+        co_return discardedResult(kind.progress, call);
+    }
     for (const object_change &change : batch.value().changes) {
         apply(kind.kind, change.object, change.isDeleted);
     }
-    kind.revision = std::max(kind.revision, batch.value().revision);
     if (!batch.value().changes.empty()) {
         co_await sleepFor(m_context.io, ChangeDelay);
     }
@@ -282,10 +299,13 @@
         applyEvacuations(listed);
         return;
     }
-    if (kind != platform_kind::Targets) {
-        return;
+    if (kind == platform_kind::Targets) {
+        retainTargets(listed);
     }
-    m_hasTargets = true;
+}
+
+void catalogue_sync::retainTargets(const std::set<std::string> &listed)
+{
     for (const auto &[id, record] : m_targets.records()) {
         if (listed.count(id) == 0) {
             m_targetRecords.erase(id);
@@ -415,56 +435,83 @@
         if (!m_isActive || !hasStoreOutage()) {
             continue;
         }
+        // All are asked, because one that was frozen may not have noticed yet that its catalogue is outdated.
         for (const endpoint &peer : m_handlers.peers()) {
-            if (co_await fetchFromPeer(peer)) {
-                break;
-            }
+            co_await fetchFromPeer(peer);
         }
     }
 }
 
-asio::awaitable<bool> catalogue_sync::fetchFromPeer(endpoint peer)
+asio::awaitable<void> catalogue_sync::fetchFromPeer(endpoint peer)
 {
     http_request request;
     request.path = "/internal/catalogue";
-    request.query["version"] = std::to_string(m_configurationVersion);
+    request.query["configuration"] = std::to_string(m_configurationKind.progress.revisions().newest);
+    request.query["targets"] = std::to_string(m_targetKind.progress.revisions().newest);
+    request.query["evacuations"] = std::to_string(m_evacuationKind.progress.revisions().newest);
     const unsigned activation = m_activation;
     const auto response = co_await fetch(peer, {}, std::move(request), PeerTimeout);
     constexpr unsigned Ok = 200;
     if (activation != m_activation || !response || response.value().status != Ok) {
-        co_return false;
+        co_return;
     }
-    const json body = json::parse(response.value().body, nullptr, false);
-    if (!body.is_object()) {
-        co_return false;
+    if (const auto offered = decodeSnapshot(response.value().body)) {
+        adopt(*offered);
+    } else {
+        m_context.metrics.add("catalogue_from_peer_malformed_total");
     }
-    if (body.contains("configuration")) {
-        applyConfiguration(body["configuration"], "peer");
+}
+
+void catalogue_sync::adopt(const catalogue_snapshot &offered)
+{
+    if (offered.configuration && m_configurationKind.progress.acceptPeerCopy(offered.configuration->revisions)) {
+        applyConfiguration(offered.configuration->content, "peer");
+        logAdopted(m_configurationKind);
+    }
+    if (offered.targets && m_targetKind.progress.acceptPeerCopy(offered.targets->revisions)) {
+        std::set<std::string> listed;
+        for (const auto &[id, spec] : offered.targets->content) {
+            listed.insert(id);
+            applyTarget(id, spec);
+        }
+        retainTargets(listed);
+        logAdopted(m_targetKind);
     }
-    std::set<std::string> listed;
-    // Named because items() keeps a reference, which must not refer to a temporary.
-    const json targets = body.value("targets", json::object());
-    for (const auto &[id, spec] : targets.items()) {
-        listed.insert(id);
-        applyTarget(id, spec);
-    }
-    retain(platform_kind::Targets, listed);
-    applyEvacuations(body.value("evacuations", std::set<std::string>()));
+    if (offered.evacuations && m_evacuationKind.progress.acceptPeerCopy(offered.evacuations->revisions)) {
+        applyEvacuations(offered.evacuations->content);
+        logAdopted(m_evacuationKind);
+    }
+}
+
+void catalogue_sync::logAdopted(const watched_kind &kind)
+{
     m_context.metrics.add("catalogue_from_peer_total");
-    co_return true;
+    m_context.log.write(event_class::StateChange,
+                        event_line("catalogue", "copy_taken")
+                            .add("kind", kind.kind)
+                            .add("source", "peer")
+                            .add("complete_through", kind.progress.revisions().completeThrough)
+                            .add("newest", kind.progress.revisions().newest),
+                        clock::now());
 }
 
-std::string catalogue_sync::snapshot(std::uint64_t peerVersion) const
+std::optional<catalogue_snapshot> catalogue_sync::snapshot(const known_revisions &peer) const
 {
-    // Only a catalogue read from the store itself is passed on; otherwise two instances could keep sending each other outdated entries.
+    // While the store is unreachable, this instance asks others itself.
     if (hasStoreOutage() || !isReady()) {
-        return {};
+        return std::nullopt;
+    }
+    catalogue_snapshot held;
+    if (m_configurationKind.progress.revisions().completeThrough > peer.configuration) {
+        held.configuration = {m_configurationKind.progress.revisions(), m_configurationRecord};
+    }
+    if (m_targetKind.progress.revisions().completeThrough > peer.targets) {
+        held.targets = {m_targetKind.progress.revisions(), m_targetRecords};
     }
-    json body{{"targets", m_targetRecords}, {"evacuations", m_evacuations}};
-    if (m_configurationVersion > peerVersion) {
-        body["configuration"] = m_configurationRecord;
+    if (m_evacuationKind.progress.revisions().completeThrough > peer.evacuations) {
+        held.evacuations = {m_evacuationKind.progress.revisions(), m_evacuations};
     }
-    return body.dump();
+    return held;
 }
 
 } // namespace balsamhook
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalogue/catalogue.h"
+#include "node/catalogue_snapshot.h"
 #include "node/node_context.h"
 #include "node/store_probe.h"
 
@@ -17,7 +18,7 @@
 {
 
 /// Mirrors the configuration, the targets and the evacuations of the platform's store: lists each kind once, then watches it. While the store is
-/// unreachable, fetches them from a peer that can reach it. Not thread-safe.
+/// unreachable, takes from peers what reflects later revisions of the store. No object goes back to an earlier revision. Not thread-safe.
 class catalogue_sync
 {
 public:
@@ -43,15 +44,15 @@
     /// Deactivation discards the configuration and the targets. While inactive, no call to the store is made and no handler is called.
     void setActive(bool isActive);
 
-    /// True once the configuration and the targets have been read, from the store or from a peer.
+    /// True once the configuration, the targets and the evacuations have been read, from the store or from a peer.
     bool isReady() const;
 
     /// False while inactive, and when the store has been unreachable for longer than PeerFallbackDelay.
     bool isStoreReachable() const;
 
-    /// Returns the catalogue as JSON, for peers that can't reach the store; empty unless isReady() and the store is reachable. Contains the configuration
-    /// only if its version is greater than the peer's.
-    std::string snapshot(std::uint64_t peerVersion) const;
+    /// Returns the kinds of which this instance holds later revisions, for a peer that can't reach the store; empty unless isReady() and the store is
+    /// reachable.
+    std::optional<catalogue_snapshot> snapshot(const known_revisions &peer) const;
 
 private:
     /// Sync state of one kind of objects.
@@ -64,8 +65,7 @@
         }
 
         std::string kind;
-        std::uint64_t revision = 0; ///< The next watch starts after this revision.
-        bool isListed = false;
+        copy_progress progress;
         bool isReachable = false; ///< The last call succeeded.
         clock::time_point failingSince{}; ///< Valid while unreachable.
         std::chrono::milliseconds listTimeout{0}; ///< Grows with each call that times out.
@@ -79,10 +79,13 @@
     void dropCalls(clock::time_point begunBefore);
     void onStoreRecovered(clock::time_point lostBefore);
     boost::asio::awaitable<void> fetchFromPeers();
-    boost::asio::awaitable<bool> fetchFromPeer(endpoint peer);
+    boost::asio::awaitable<void> fetchFromPeer(endpoint peer);
+    void adopt(const catalogue_snapshot &offered);
+    void logAdopted(const watched_kind &kind);
     void recordResult(watched_kind &kind, const result<void> &outcome);
     void apply(const std::string &kind, const store_object &object, bool isDeleted);
     void retain(const std::string &kind, const std::set<std::string> &listed);
+    void retainTargets(const std::set<std::string> &listed);
     void applyConfiguration(const nlohmann::json &spec, std::string_view source);
     void applyTarget(const std::string &id, const nlohmann::json &spec);
     void markTargetStale(const std::string &id);
@@ -106,7 +109,6 @@
     std::set<std::string> m_unreadableTargets; ///< Ids of unreadable registrations that have been logged.
     store_probe m_probe;
     clock::time_point m_callsDroppedAt{};
-    bool m_hasTargets = false;
     bool m_isActive = false;
     unsigned m_activation = 0; ///< Incremented by each setActive() that changes the state; results of calls that began before are dropped.
 };
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -41,6 +41,18 @@
                 {"Services", json::array({json{{"Name", "s0"}, {"HealthPath", "/health"}, {"MaxConns", 25}}})}};
 }
 
+/// What a peer hands over that has applied all changes up to the revision.
+catalogue_snapshot
+peerCopy(std::uint64_t revision, const json &configuration, const std::map<std::string, json> &targets, const std::set<std::string> &evacuations)
+{
+    const copy_revisions revisions{revision, revision};
+    catalogue_snapshot copy;
+    copy.configuration = {revisions, configuration};
+    copy.targets = {revisions, targets};
+    copy.evacuations = {revisions, evacuations};
+    return copy;
+}
+
 /// A catalogue_sync on a stand-in store, and the state from its callbacks.
 struct sync_fixture : node_fixture
 {
@@ -188,9 +200,9 @@
     fixture.runFor(300ms);
     fixture.standin.setCondition(store_condition::Refusing);
     fixture.standin.dropConnections();
-    REQUIRE(fixture.runUntil([&] { return fixture.sync->snapshot(0).empty(); }, 3s));
+    REQUIRE(fixture.runUntil([&] { return !fixture.sync->snapshot({}).has_value(); }, 3s));
     fixture.standin.setCondition(store_condition::Up);
-    CHECK(fixture.runUntil([&] { return !fixture.sync->snapshot(0).empty(); }, 2s));
+    CHECK(fixture.runUntil([&] { return fixture.sync->snapshot({}).has_value(); }, 2s));
 }
 
 TEST_CASE("catalogue_sync: after a start during an outage the catalogue is ready soon after recovery (a call to the silent store blocked for 2.5 s)")
@@ -245,11 +257,16 @@
     connected.standin.put("evacuations", "dc3", json::object());
     connected.start();
     REQUIRE(connected.runUntil([&] { return connected.sync->isReady() && !connected.evacuated.empty(); }));
-    CHECK(json::parse(connected.sync->snapshot(4)).contains("targets"));
-    CHECK_FALSE(json::parse(connected.sync->snapshot(4)).contains("configuration"));
+    const auto held = connected.sync->snapshot({});
+    REQUIRE((held && held->configuration && held->targets && held->evacuations));
+    const known_revisions sameConfiguration{held->configuration->revisions.newest, 0, 0};
+    CHECK_FALSE(connected.sync->snapshot(sameConfiguration)->configuration.has_value());
+    CHECK(connected.sync->snapshot(sameConfiguration)->targets.has_value());
 
     http_server server(connected.io, {}, connected.metrics, [&](http_request request) -> boost::asio::awaitable<http_response> {
-        co_return jsonResponse(200, connected.sync->snapshot(std::stoull(std::string(request.parameter("version")))));
+        const auto revision = [&](const char *name) { return std::stoull(std::string(request.parameter(name))); };
+        const auto newer = connected.sync->snapshot({revision("configuration"), revision("targets"), revision("evacuations")});
+        co_return jsonResponse(200, encodeSnapshot(newer.value()));
     });
     const endpoint internal{"127.0.0.1", 18211};
     REQUIRE(server.listen(internal).has_value());
@@ -270,7 +287,93 @@
     REQUIRE(connected.runUntil([&] { return isolated.isReady(); }));
     CHECK(received->version() == 4);
     CHECK(ids.count("t0") == 1);
-    CHECK_MESSAGE(isolated.snapshot(0).empty(), "a catalogue fetched from a peer isn't passed on");
+    CHECK_MESSAGE(!isolated.snapshot({}).has_value(), "a catalogue fetched from a peer isn't passed on");
+}
+
+namespace
+{
+
+/// Hands out one text to peers that can't reach the store.
+struct peer_server
+{
+    peer_server(sync_fixture &fixture, std::uint16_t port, std::string body)
+        : server(fixture.io, {}, fixture.metrics, [this, body = std::move(body)](http_request) -> boost::asio::awaitable<http_response> {
+            ++requests;
+            co_return jsonResponse(200, body);
+        })
+    {
+        REQUIRE(server.listen({"127.0.0.1", port}).has_value());
+        fixture.peers.push_back({"127.0.0.1", port});
+    }
+
+    int requests = 0;
+    http_server server;
+};
+
+/// A running catalogue_sync that knows of an evacuation and of the end of a target; the store has become unreachable since.
+struct outage_fixture : sync_fixture
+{
+    outage_fixture()
+    {
+        standin.put("config", "main", configurationSpec(4));
+        standin.put("servers", "t0", targetSpec("s0"));
+        standin.put("servers", "ended", targetSpec("s0"));
+        start();
+        REQUIRE(runUntil([this] { return sync->isReady() && targets.size() == 2; }));
+        before = sync->snapshot({}).value();
+        standin.put("evacuations", "dc3", json::object());
+        standin.erase("servers", "ended");
+        REQUIRE(runUntil([this] { return evacuated.count("dc3") == 1 && targets.count("ended") == 0; }));
+        newest = sync->snapshot({}).value();
+        standin.setCondition(store_condition::Silent);
+    }
+
+    catalogue_snapshot before; ///< As an instance that was frozen holds it.
+    catalogue_snapshot newest;
+};
+
+} // namespace
+
+TEST_CASE("catalogue_sync: an outdated copy of a peer changes nothing (review/2: an instance that had been frozen reverted an evacuation on the others)")
+{
+    outage_fixture fixture;
+    peer_server frozen(fixture, 18215, encodeSnapshot(fixture.before));
+    REQUIRE(fixture.runUntil([&] { return frozen.requests >= 3; }));
+    CHECK(fixture.evacuated == std::set<std::string>{"dc3"});
+    CHECK(fixture.targets.count("ended") == 0);
+    fixture.standin.setCondition(store_condition::Up);
+    fixture.standin.put("servers", "t1", targetSpec("s0"));
+    REQUIRE(fixture.runUntil([&] { return fixture.targets.count("t1") == 1; }));
+    CHECK(fixture.evacuated == std::set<std::string>{"dc3"});
+    CHECK(fixture.targets.count("ended") == 0);
+}
+
+TEST_CASE("catalogue_sync: the newest copy among several peers is taken, whoever answers first (guards against a start with an outdated catalogue)")
+{
+    outage_fixture fixture;
+    const std::uint64_t later = fixture.newest.evacuations->revisions.newest + 10;
+    peer_server frozen(fixture, 18216, encodeSnapshot(fixture.before));
+    peer_server malformed(fixture, 18217, R"({"evacuations": {"complete_through": "many"}})");
+    peer_server current(fixture, 18218, encodeSnapshot(peerCopy(later, configurationSpec(9), {{"t9", targetSpec("s0")}}, {"dc2", "dc3"})));
+    REQUIRE(fixture.runUntil([&] { return fixture.evacuated.size() == 2 && fixture.targets.count("t9") == 1 && fixture.configuration->version() == 9; }));
+    CHECK(fixture.metrics.text().find("catalogue_from_peer_malformed_total") != std::string::npos);
+    fixture.runFor(1s);
+    CHECK(fixture.evacuated.size() == 2);
+}
+
+TEST_CASE("catalogue_sync: is ready only with the evacuations (an instance that had just started could send to an evacuated data centre)")
+{
+    sync_fixture fixture;
+    fixture.standin.put("config", "main", configurationSpec(4));
+    fixture.standin.put("servers", "t0", targetSpec("s0"));
+    fixture.standin.put("evacuations", "dc3", json::object());
+    bool wasReadyWithout = false;
+    fixture.start();
+    REQUIRE(fixture.runUntil([&] {
+        wasReadyWithout = wasReadyWithout || (fixture.sync->isReady() && fixture.evacuated.empty());
+        return fixture.sync->isReady();
+    }));
+    CHECK_FALSE(wasReadyWithout);
 }
 
 TEST_CASE("catalogue_sync: a peer's response that arrives after deactivation is discarded (guards against routing by an outdated catalogue)")
@@ -282,8 +385,7 @@
     http_server server(fixture.io, {}, fixture.metrics, [&](http_request) -> boost::asio::awaitable<http_response> {
         wasRequested = true;
         co_await sleepFor(fixture.io, 200ms);
-        const json body{{"configuration", configurationSpec(5)}, {"targets", json::object()}, {"evacuations", json::array()}};
-        co_return jsonResponse(200, body.dump());
+        co_return jsonResponse(200, encodeSnapshot(peerCopy(100, configurationSpec(5), {}, {})));
     });
     const endpoint internal{"127.0.0.1", 18213};
     REQUIRE(server.listen(internal).has_value());
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -37,6 +37,12 @@
     return limits;
 }
 
+/// Returns 0 if the parameter is missing or malformed.
+std::uint64_t revisionParameter(const http_request &request, std::string_view name)
+{
+    return std::strtoull(std::string(request.parameter(name)).c_str(), nullptr, 10);
+}
+
 } // namespace
 
 query_node::query_node(platform_settings settings, node_options options)
@@ -226,8 +232,9 @@
         co_return textResponse(200, m_metrics.text());
     }
     if (request.path == "/internal/catalogue") {
-        const std::string body = m_catalogue.snapshot(std::strtoull(std::string(request.parameter("version")).c_str(), nullptr, 10));
-        co_return body.empty() ? errorResponse(ServiceUnavailable, "no current catalogue") : jsonResponse(200, body);
+        const auto held = m_catalogue.snapshot(
+            {revisionParameter(request, "configuration"), revisionParameter(request, "targets"), revisionParameter(request, "evacuations")});
+        co_return held ? jsonResponse(200, encodeSnapshot(*held)) : errorResponse(ServiceUnavailable, "no current catalogue");
     }
     co_return errorResponse(NotFound, "unknown path");
 }
