Never send a request twice on one connection, and match responses in a state machine

Cause: a late copy of a refusal arrived where the response to the second send of the same request was expected, on the connection of the first send, and has the same Request-Id.

Change: http/exchange_machine decides which bytes are a response and whether a connection is reused; target_connection keeps the socket only. A send avoids the connections of the request's earlier sends. Without an id a response counts only on a connection without earlier requests; one that delivered a foreign response isn't reused; HEAD after an interim response waits for no body.

Ruled out: matching by time (unsolicited bytes before the send) can't help, as the copy arrives after the second send.

--- /dev/null
+++ b/http/exchange_machine_test.cpp
@@ -0,0 +1,195 @@
+#include <doctest/doctest.h>
+
+#include "http/http.h"
+
+#include <rapidcheck.h>
+#include <utility>
+
+using namespace balsamhook;
+
+namespace
+{
+
+/// A response whose body names the send that it answers.
+std::string responseTo(int send, bool hasId = true, bool keepsAlive = true)
+{
+    const std::string body = "answers " + std::to_string(send);
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    text += hasId ? "Request-Id: r" + std::to_string(send) + "\r\n" : "";
+    text += keepsAlive ? "" : "Connection: close\r\n";
+    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// What a target writes after one request: mostly its response, and at times something else before, after or in place of it. A target that breaks off within
+/// a response writes nothing more, as bytes that happen to complete it would make a valid response.
+std::string arbitraryOutput(int send, bool &isBrokenOff)
+{
+    const auto earlier = [send] { return *rc::gen::inRange(1, send + 1); };
+    std::string output;
+    const int parts = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < parts; ++i) {
+        switch (*rc::gen::inRange(0, 10)) {
+        case 0:
+            output += "HTTP/1.1 103 Early Hints\r\n\r\n";
+            break;
+        case 1:
+            output += responseTo(earlier());
+            break;
+        case 2:
+            output += responseTo(earlier(), false);
+            break;
+        case 3:
+            output += "not a response";
+            break;
+        case 4:
+            output += responseTo(send, true, false);
+            break;
+        case 5:
+            isBrokenOff = true;
+            return output + responseTo(send).substr(0, static_cast<std::size_t>(*rc::gen::inRange(1, 60)));
+        default:
+            output += responseTo(send);
+        }
+    }
+    return output;
+}
+
+exchange_machine makeMachine()
+{
+    return exchange_machine(message_reader::limits{});
+}
+
+/// Feeds the text in slices of arbitrary size until the exchange or the connection ends, and returns how many bytes were fed.
+std::size_t feed(exchange_machine &machine, const std::string &text, std::size_t from, std::optional<exchange_result> &result)
+{
+    while (from < text.size() && !result && !machine.hasEnded()) {
+        const auto size = static_cast<std::size_t>(*rc::gen::inRange(1, 40));
+        result = machine.onBytes(std::string_view(text).substr(from, size));
+        from += std::min(size, text.size() - from);
+    }
+    return from;
+}
+
+/// Plays a connection with up to four requests; each must get its own response or none.
+void checkConnection()
+{
+    exchange_machine machine = makeMachine();
+    std::string late; // Written by the target after an earlier request, and received only after the next one was begun.
+    bool isBrokenOff = false;
+    for (int send = 1; send <= 4 && machine.isReusable() && !isBrokenOff; ++send) {
+        machine.begin("r" + std::to_string(send), true);
+        const std::string output = std::exchange(late, {}) + arbitraryOutput(send, isBrokenOff);
+        std::optional<exchange_result> result;
+        if (*rc::gen::arbitrary<bool>()) {
+            machine.onRequestWritten();
+        }
+        const std::size_t fed = feed(machine, output, 0, result);
+        machine.onRequestWritten();
+        if (!result) {
+            RC_ASSERT(!machine.isReusable());
+            const auto end = *rc::gen::element(connection_end::ClosedByTarget, connection_end::ResetByTarget, connection_end::Failed);
+            result = machine.onEnd(end, true);
+        }
+        RC_ASSERT(result.has_value());
+        if (result->outcome == exchange_outcome::Completed) {
+            RC_ASSERT(result->response.body == "answers " + std::to_string(send));
+        } else {
+            RC_ASSERT(!machine.isReusable());
+        }
+        if (fed == output.size() || !machine.isReusable()) {
+            continue;
+        }
+        if (*rc::gen::arbitrary<bool>()) {
+            late = output.substr(fed);
+            continue;
+        }
+        RC_ASSERT(!machine.onBytes(std::string_view(output).substr(fed)).has_value());
+        RC_ASSERT(machine.hasEnded());
+    }
+}
+
+} // namespace
+
+TEST_CASE("exchange_machine: whatever a target writes, a request gets only its own response (guards against requests that are answered by late copies)")
+{
+    constexpr int ConnectionsPerTest = 20;
+    const bool holds = rc::check([] {
+        for (int i = 0; i < ConnectionsPerTest; ++i) {
+            checkConnection();
+        }
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("exchange_machine: a sound target's connection is reused (guards against opening a connection for each request)")
+{
+    exchange_machine machine = makeMachine();
+    for (int send = 1; send <= 20; ++send) {
+        REQUIRE(machine.isReusable());
+        machine.begin("r" + std::to_string(send), true);
+        machine.onRequestWritten();
+        const auto result = machine.onBytes("HTTP/1.1 100 Continue\r\n\r\n" + responseTo(send));
+        REQUIRE(result);
+        CHECK(result->outcome == exchange_outcome::Completed);
+    }
+    CHECK(machine.isReusable());
+}
+
+TEST_CASE("exchange_machine: a response without an id counts only on a connection without earlier requests (guards against copies without an id)")
+{
+    exchange_machine machine = makeMachine();
+    machine.begin("r1", true);
+    machine.onRequestWritten();
+    REQUIRE(machine.onBytes(responseTo(1, false)).has_value());
+    REQUIRE(machine.isReusable());
+    machine.begin("r2", true);
+    machine.onRequestWritten();
+    CHECK_FALSE(machine.onBytes(responseTo(1, false)).has_value());
+    const auto result = machine.onBytes(responseTo(2));
+    REQUIRE(result);
+    CHECK(result->response.body == "answers 2");
+    CHECK_FALSE(machine.isReusable());
+}
+
+TEST_CASE("exchange_machine: a connection that delivered a response to another request is not reused (guards against further copies on it)")
+{
+    exchange_machine machine = makeMachine();
+    machine.begin("r1", true);
+    machine.onRequestWritten();
+    REQUIRE(machine.onBytes(responseTo(0) + responseTo(1)).has_value());
+    CHECK(machine.hasEnded());
+}
+
+TEST_CASE("exchange_machine: a response before the request was written whole ends the connection (guards against bytes of a request in place of the rest)")
+{
+    exchange_machine machine = makeMachine();
+    machine.begin("r1", true);
+    const auto result = machine.onBytes(responseTo(1));
+    REQUIRE(result);
+    CHECK(result->outcome == exchange_outcome::Completed);
+    CHECK(machine.hasEnded());
+}
+
+TEST_CASE("exchange_machine: the response to HEAD after an interim response has no body (guards against waiting for one)")
+{
+    exchange_machine machine = makeMachine();
+    machine.begin("r1", false);
+    machine.onRequestWritten();
+    const auto result = machine.onBytes("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\n");
+    REQUIRE(result);
+    CHECK(result->outcome == exchange_outcome::Completed);
+    CHECK(machine.isReusable());
+}
+
+TEST_CASE("exchange_machine: interim responses without end are lost (guards against unlimited work for one request)")
+{
+    exchange_machine machine = makeMachine();
+    machine.begin("r1", true);
+    machine.onRequestWritten();
+    std::optional<exchange_result> result;
+    for (int i = 0; i < 100 && !result; ++i) {
+        result = machine.onBytes("HTTP/1.1 103 Early Hints\r\n\r\n");
+    }
+    REQUIRE(result);
+    CHECK(result->outcome == exchange_outcome::Lost);
+}
--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/socket_options.h"
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <cstdlib>
@@ -16,8 +17,6 @@
 
 /// An idle connection is not reused in this period before the target's idle timeout, so that a request doesn't race with the close.
 constexpr std::chrono::milliseconds IdleMargin{300};
-/// Interim responses and late responses to earlier requests that an exchange may discard.
-constexpr unsigned MaxDiscardedResponses = 16;
 
 std::optional<std::chrono::milliseconds> idleTimeoutOf(const http_message &response)
 {
@@ -30,9 +29,19 @@
     return std::chrono::seconds(std::atoi(value->c_str() + position + Parameter.size()));
 }
 
-bool isClosedByPeer(const boost::system::error_code &error)
+connection_end endOf(const boost::system::error_code &error)
 {
-    return error == asio::error::eof || error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    if (error == asio::error::eof) {
+        return connection_end::ClosedByTarget;
+    }
+    const bool isReset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    return isReset ? connection_end::ResetByTarget : connection_end::Failed;
+}
+
+std::uint64_t nextNumber()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
 }
 
 } // namespace
@@ -40,8 +49,8 @@
 target_connection::target_connection(asio::io_context &context, endpoint peer, message_reader::limits limits)
     : m_socket(context)
     , m_peer(std::move(peer))
-    , m_limits(limits)
-    , m_reader(message_kind::Response, limits)
+    , m_number(nextNumber())
+    , m_machine(limits)
 {
 }
 
@@ -85,15 +94,11 @@
 {
     BALSAM_ASSERT(m_open && !m_closed && !m_exchangeHandler);
     m_exchangeHandler = std::move(done);
-    m_requestId = std::move(requestId);
     m_outgoing = std::move(request);
     m_written = 0;
-    m_discarded = 0;
-    if (!expectsBody) {
-        m_reader.expectNoBody();
-    }
+    m_machine.begin(std::move(requestId), expectsBody);
     boost::system::error_code failed;
-    m_written = m_socket.write_some(asio::buffer(m_outgoing), failed);
+    const std::size_t size = m_socket.write_some(asio::buffer(m_outgoing), failed);
     if (failed && failed != asio::error::would_block) {
         // Posted to the event loop, so that the handler is never called from within exchange().
         asio::post(m_socket.get_executor(), [self = shared_from_this(), failed] {
@@ -103,8 +108,16 @@
         });
         return;
     }
+    onWritten(size);
+}
+
+void target_connection::onWritten(std::size_t size)
+{
+    m_written += size;
     if (m_written < m_outgoing.size()) {
         writeRemaining();
+    } else {
+        m_machine.onRequestWritten();
     }
 }
 
@@ -119,10 +132,7 @@
             self->onConnectionError(failed);
             return;
         }
-        self->m_written += size;
-        if (self->m_written < self->m_outgoing.size()) {
-            self->writeRemaining();
-        }
+        self->onWritten(size);
     });
 }
 
@@ -141,64 +151,16 @@
         onConnectionError(failed);
         return;
     }
-    // Unsolicited bytes can't be matched to a request.
-    if (!m_exchangeHandler) {
-        onConnectionError(asio::error::connection_aborted);
-        return;
-    }
-    const std::string_view received(m_buffer.data(), size);
-    if (m_unparsed.empty()) {
-        processInput(received);
-    } else {
-        const std::string joined = std::exchange(m_unparsed, {}).append(received);
-        processInput(joined);
+    if (auto result = m_machine.onBytes({m_buffer.data(), size})) {
+        finish(std::move(*result));
+    } else if (m_machine.hasEnded()) {
+        closeIdle();
     }
     if (!m_closed) {
         read();
     }
 }
 
-void target_connection::processInput(std::string_view data)
-{
-    while (!data.empty() && m_exchangeHandler && !m_closed) {
-        boost::system::error_code failed;
-        data.remove_prefix(m_reader.feed(data, failed));
-        if (failed) {
-            finish({exchange_outcome::Lost, {}, false, false, true});
-            return;
-        }
-        if (!m_reader.isDone()) {
-            // The reader consumes complete lines only; the rest is passed again with the next bytes.
-            m_unparsed = data;
-            if (m_unparsed.size() > m_limits.headerBytes) {
-                finish({exchange_outcome::Lost, {}, false, false, true});
-            }
-            return;
-        }
-        if (!acceptResponse(!data.empty()) && ++m_discarded > MaxDiscardedResponses) {
-            finish({exchange_outcome::Lost, {}, false, false, true});
-            return;
-        }
-    }
-}
-
-bool target_connection::acceptResponse(bool hasTrailingBytes)
-{
-    constexpr unsigned FirstFinalStatus = 200;
-    http_message response = m_reader.take();
-    if (response.status < FirstFinalStatus) {
-        return false;
-    }
-    const std::string *id = response.find("Request-Id");
-    if (id != nullptr && *id != m_requestId) {
-        return false;
-    }
-    m_idleTimeout = idleTimeoutOf(response);
-    m_canReuse = response.keepAlive && !hasTrailingBytes && m_written == m_outgoing.size();
-    finish({exchange_outcome::Completed, std::move(response), false, false, true});
-    return true;
-}
-
 void target_connection::onConnectionError(const boost::system::error_code &failed)
 {
     if (m_openHandler) {
@@ -207,25 +169,20 @@
         handler(false);
         return;
     }
-    if (!m_exchangeHandler) {
-        const close_handler handler = std::move(m_closeHandler);
-        close();
-        if (handler) {
-            handler();
-        }
-        return;
+    if (auto result = m_machine.onEnd(endOf(failed), m_written > 0)) {
+        finish(std::move(*result));
+    } else {
+        closeIdle();
     }
-    m_canReuse = false;
-    // Only an orderly close completes a response without Content-Length; after a reset the body may be truncated.
-    if (failed == asio::error::eof && m_reader.hasHeader()) {
-        boost::system::error_code incomplete;
-        m_reader.endOfStream(incomplete);
-        if (!incomplete && m_reader.isDone() && acceptResponse(false)) {
-            return;
-        }
+}
+
+void target_connection::closeIdle()
+{
+    const close_handler handler = std::move(m_closeHandler);
+    close();
+    if (handler) {
+        handler();
     }
-    const bool hasReceivedBytes = m_reader.hasStarted();
-    finish({m_written > 0 ? exchange_outcome::Lost : exchange_outcome::NotSent, {}, true, isClosedByPeer(failed), hasReceivedBytes});
 }
 
 void target_connection::finish(exchange_result result)
@@ -233,8 +190,8 @@
     const exchange_handler handler = std::move(m_exchangeHandler);
     m_exchangeHandler = nullptr;
     m_idleSince = clock::now();
-    if (result.outcome != exchange_outcome::Completed || !m_canReuse) {
-        m_canReuse = false;
+    m_idleTimeout = idleTimeoutOf(result.response);
+    if (m_machine.hasEnded()) {
         close();
     }
     handler(std::move(result));
@@ -253,7 +210,7 @@
 
 bool target_connection::isReusable(clock::time_point now) const
 {
-    if (!m_open || m_closed || m_exchangeHandler || !m_canReuse) {
+    if (!m_open || m_closed || !m_machine.isReusable()) {
         return false;
     }
     return !m_idleTimeout || now + IdleMargin < m_idleSince + *m_idleTimeout;
@@ -264,4 +221,9 @@
     return m_idleSince;
 }
 
+std::uint64_t target_connection::number() const
+{
+    return m_number;
+}
+
 } // namespace balsamhook
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "base/base.h"
-#include "http/message_reader.h"
+#include "http/exchange_machine.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,23 +16,8 @@
 namespace balsamhook
 {
 
-enum class exchange_outcome : std::uint8_t {
-    Completed,
-    NotSent, ///< No byte of the request was written to the socket.
-    Lost, ///< At least one byte was written and no valid response was received: the target may have run the request.
-};
-
-struct exchange_result
-{
-    exchange_outcome outcome = exchange_outcome::NotSent;
-    http_message response; ///< Valid if the outcome is Completed.
-    bool wasDisconnected = false; ///< The exchange failed because the connection ended, not because of a malformed response.
-    bool wasClosedByTarget = false; ///< The target closed or reset the connection; false when it ended by a timeout of the network.
-    bool hasReceivedBytes = false; ///< At least part of a response was received.
-};
-
-/// Connection to a target that carries one request at a time. Responses with a Request-Id other than the request's are discarded. A connection is not
-/// reused after unsolicited bytes, a response before the request was fully written, or a response that ends keep-alive. Not thread-safe.
+/// Connection to a target that carries one request at a time; exchange_machine decides which bytes are its response and whether the connection is reused.
+/// Not thread-safe.
 class target_connection : public std::enable_shared_from_this<target_connection>
 {
 public:
@@ -50,7 +36,7 @@
     void onIdleClose(close_handler handler);
 
     /// Sends a serialized request and calls the handler once from the event loop, unless close() is called first. expectsBody is false for HEAD.
-    /// Precondition: isReusable().
+    /// Preconditions: isReusable(), and no request with this id was sent on this connection before.
     void exchange(std::string request, std::string requestId, bool expectsBody, exchange_handler done);
 
     /// Closes the connection without calling handlers. Idempotent.
@@ -62,31 +48,30 @@
     /// Time when the last exchange ended, or when the connection was opened if there was none.
     clock::time_point idleSince() const;
 
+    /// Number of this connection, unique in the process.
+    std::uint64_t number() const;
+
 private:
     void read();
     void onRead(const boost::system::error_code &failed, std::size_t size);
-    void processInput(std::string_view data);
     void writeRemaining();
+    void onWritten(std::size_t size);
     void onConnectionError(const boost::system::error_code &failed);
-    bool acceptResponse(bool hasTrailingBytes); ///< Returns false if the response is discarded.
     void finish(exchange_result result);
+    void closeIdle();
 
     boost::asio::ip::tcp::socket m_socket;
     endpoint m_peer;
-    message_reader::limits m_limits;
-    message_reader m_reader;
+    std::uint64_t m_number;
+    exchange_machine m_machine;
     std::array<char, 4096> m_buffer{};
-    std::string m_unparsed; ///< Received bytes of an incomplete line.
     open_handler m_openHandler;
     exchange_handler m_exchangeHandler;
     close_handler m_closeHandler;
     std::string m_outgoing;
     std::size_t m_written = 0;
-    unsigned m_discarded = 0; ///< Responses of this exchange that were discarded.
-    std::string m_requestId;
     bool m_open = false;
     bool m_closed = false;
-    bool m_canReuse = true;
     clock::time_point m_idleSince{};
     std::optional<std::chrono::milliseconds> m_idleTimeout; ///< From the target's Keep-Alive header.
 };
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -114,7 +114,7 @@
     } else if (isIdempotent()) {
         m_hedgeAt = now + hedgeDelay(m_statistics.latency, m_request.matched->objective, HedgeObjectiveShare);
     }
-    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.latency.median(), isIdempotent()};
+    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.latency.median(), isIdempotent(), m_attempted.connections};
     // The handler needs the attempt, which send() returns. It is called from the event loop, so the pointer is set by then.
     const auto sentAttempt = std::make_shared<target_attempt_ptr>();
     *sentAttempt = m_pool.send(link, std::move(options), [self = shared_from_this(), sentAttempt](attempt_result result) {
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -182,7 +182,7 @@
     } else {
         shard.hedgeAt = now + hedgeDelay(m_statistics.latency, m_request.matched->objective, HedgeObjectiveShare);
     }
-    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.latency.median(), true};
+    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.latency.median(), true, shard.attempted.connections};
     // The handler needs the attempt, which send() returns. It is called from the event loop, so the pointer is set by then.
     const auto sentAttempt = std::make_shared<target_attempt_ptr>();
     *sentAttempt = m_pool.send(link, std::move(options), [self = shared_from_this(), index, sentAttempt](attempt_result result) {
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -472,6 +472,37 @@
     }
 }
 
+TEST_CASE("forward_request: a late copy of a refusal is not the answer to the next send (review/1: a request that must not be repeated ran twice)")
+{
+    node_fixture fixture;
+    int sends = 0;
+    int runs = 0;
+    fake_target::pointer refused;
+    // Refuses the first send and, where the response to the second is expected on that connection, writes the refusal once more before running it.
+    fake_target faulty(fixture.io, fixture.timers, "t0", [&](const fake_target::pointer &connection, const http_message &request) {
+        ++sends;
+        caller_response refusal;
+        refusal.status = 503;
+        refusal.fields = {{"Request-Id", *request.find("Request-Id")}, {"Not-Executed", "1"}};
+        if (sends == 1) {
+            refused = connection;
+            connection->respond(refusal, false);
+            return;
+        }
+        ++runs;
+        if (connection == refused) {
+            connection->respond(refusal, false);
+            return;
+        }
+        respondSigned(connection, request, "sig0", "done");
+    });
+    fixture.add(faulty.registration("s0"));
+    simulated_request simulated(fixture, forwardRoute(repeat_rule::NonIdempotent));
+    simulated.run();
+    CHECK(simulated.response->status == 200);
+    CHECK(runs == 1);
+}
+
 TEST_CASE("forward_request: refuses when no target ran the request (guards against false refusals and useless waiting)")
 {
     node_fixture fixture;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -53,6 +53,9 @@
 
 void attempted_targets::onOutcome(const std::string &targetId, const attempt_result &result)
 {
+    if (result.connection != 0) {
+        connections.push_back(result.connection);
+    }
     const bool isRetryable = result.outcome == attempt_outcome::NotRun && result.response.status != Misdirected;
     if (isRetryable) {
         std::erase(tried, targetId);
@@ -104,21 +107,47 @@
 
 std::shared_ptr<target_connection> target_attempt::takeIdleConnection(steady::time_point now)
 {
-    while (!m_link->idle.empty()) {
-        auto connection = std::move(m_link->idle.back());
-        m_link->idle.pop_back();
+    auto &idle = m_link->idle;
+    std::shared_ptr<target_connection> taken;
+    for (std::size_t i = idle.size(); i > 0 && !taken; --i) {
+        const auto connection = idle[i - 1];
+        if (wasUsed(*connection)) {
+            continue;
+        }
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
         const bool isFresh = m_options.isIdempotent || now - connection->idleSince() < MaxIdleNonIdempotent;
         if (connection->isReusable(now) && isFresh) {
-            return connection;
+            taken = connection;
+        } else {
+            connection->close();
+            --m_link->connections;
+        }
+    }
+    return taken;
+}
+
+bool target_attempt::wasUsed(const target_connection &connection) const
+{
+    const auto &used = m_options.usedConnections;
+    return std::find(used.begin(), used.end(), connection.number()) != used.end();
+}
+
+void target_attempt::closeUsedConnections()
+{
+    std::erase_if(m_link->idle, [this](const std::shared_ptr<target_connection> &connection) {
+        if (!wasUsed(*connection)) {
+            return false;
         }
         connection->close();
         --m_link->connections;
-    }
-    return nullptr;
+        return true;
+    });
 }
 
 void target_attempt::openConnection()
 {
+    // A new connection takes the place of those that only the earlier sends of this request keep from being used.
+    closeUsedConnections();
     ++m_link->connections;
     m_context.metrics.add("target_connections_opened_total");
     m_connection = std::make_shared<target_connection>(m_context.io, m_link->target.address, ResponseLimits);
@@ -151,6 +180,7 @@
 void target_attempt::send(std::shared_ptr<target_connection> connection, bool isReused)
 {
     m_connection = std::move(connection);
+    m_connectionNumber = m_connection->number();
     m_isReused = isReused;
     m_wasSent = true;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.deadline - steady::now());
@@ -267,6 +297,7 @@
     release(true);
     attempt_result result;
     result.outcome = outcome;
+    result.connection = m_connectionNumber;
     result.response = std::move(exchanged.response);
     result.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - m_startedAt);
     finish(std::move(result));
--- a/node/target_attempt.h
+++ b/node/target_attempt.h
@@ -32,6 +32,7 @@
     attempt_outcome outcome = attempt_outcome::Unreachable;
     http_message response; ///< Valid for Success, TargetFailure and NotRun.
     std::chrono::microseconds duration{0};
+    std::uint64_t connection = 0; ///< Number of the connection that the request was sent on; 0 if it wasn't sent.
 };
 
 /// Targets that a request, or one of its sub-queries, was sent to.
@@ -39,6 +40,7 @@
 {
     std::vector<std::string> tried; ///< Not chosen again: they may have run the request, or can't run it.
     std::vector<std::string> refused; ///< Did not run the request; may be chosen again.
+    std::vector<std::uint64_t> connections; ///< Numbers of the connections that the request was sent on.
 
     /// Records the outcome of an attempt that did not succeed. Precondition: the target is in tried.
     void onOutcome(const std::string &targetId, const attempt_result &result);
@@ -56,6 +58,7 @@
     std::chrono::steady_clock::time_point deadline; ///< Sent to the target as the time left.
     std::chrono::microseconds typicalLatency{0}; ///< Median latency of the route, for the target's health.
     bool isIdempotent = true; ///< When false, only a new or recently used connection is used.
+    std::vector<std::uint64_t> usedConnections; ///< A late response to an earlier send of the request may arrive on these, so they are not used again.
 };
 
 /// One send of a request to one target. Ends with a call of its handler, or with abandon(). Not thread-safe.
@@ -79,6 +82,8 @@
 
 private:
     std::shared_ptr<target_connection> takeIdleConnection(std::chrono::steady_clock::time_point now);
+    bool wasUsed(const target_connection &connection) const;
+    void closeUsedConnections();
     void openConnection();
     void onOpenFailed();
     void send(std::shared_ptr<target_connection> connection, bool isReused);
@@ -94,6 +99,7 @@
     attempt_options m_options;
     handler m_done;
     std::shared_ptr<target_connection> m_connection;
+    std::uint64_t m_connectionNumber = 0; ///< Of the connection that the request was sent on.
     timer_queue::handle m_timer = 0;
     std::chrono::steady_clock::time_point m_startedAt{};
     bool m_isReused = false;
