--- a/http/socket_options.cpp
+++ b/http/socket_options.cpp
@@ -49,6 +49,8 @@
         acceptor.listen(asio::socket_base::max_listen_connections, failed);
     }
     if (failed) {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
         return failure(error_code::Unreachable, error_step::Listen, describe(local), failed.message());
     }
     return success();
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -65,6 +65,8 @@
         m_socket.bind(local, failed);
     }
     if (failed) {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
         return failure(error_code::Unreachable, error_step::Listen, settings.address, failed.message());
     }
     m_socket.non_blocking(true, failed);
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds OtherInstanceRetryAfter{30};
 /// Retry-After of a leaving instance while no other serves: those that left before it are back by then.
 constexpr std::chrono::milliseconds NoInstanceRetryAfter{1000};
+/// An address may still be in use for a moment, by the connection of another process on the machine or by the process before this one.
+constexpr std::chrono::seconds ListenTimeout{10};
+constexpr std::chrono::milliseconds ListenRetryInterval{200};
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned NotFound = 404;
 
@@ -241,28 +244,63 @@
 
 result<void> query_node::listen()
 {
-    BOOST_OUTCOME_TRY(m_callers.listen());
-    BOOST_OUTCOME_TRY(m_directoryServer.listen(m_settings.directory));
-    BOOST_OUTCOME_TRY(m_readinessServer.listen(m_settings.readiness));
-    BOOST_OUTCOME_TRY(m_internalServer.listen(m_settings.internal));
-    if (m_options.metricsPort != 0) {
-        const auto bound = m_metricsServer.listen({m_settings.address, m_options.metricsPort});
-        if (!bound) {
-            // The internal address serves the same metrics, so the instance can run without this port.
-            m_log.write(event_class::StateChange, event_line("node", "metrics_unavailable").add("reason", describe(bound.error())), clock::now());
-        }
+    while (!m_pendingListens.empty()) {
+        BOOST_OUTCOME_TRY(m_pendingListens.back()());
+        m_pendingListens.pop_back();
+    }
+    return success();
+}
+
+void query_node::listenOnMetricsPort()
+{
+    if (m_options.metricsPort == 0) {
+        return;
+    }
+    const auto bound = m_metricsServer.listen({m_settings.address, m_options.metricsPort});
+    if (!bound) {
+        // The internal address serves the same metrics, so the instance can run without this port.
+        m_log.write(event_class::StateChange, event_line("node", "metrics_unavailable").add("reason", describe(bound.error())), clock::now());
     }
-    return m_peers.start();
 }
 
 int query_node::run()
 {
+    // Callers are accepted last, when everything else is in place.
+    m_pendingListens = {[this] { return m_callers.listen(); },
+                        [this] { return m_peers.start(); },
+                        [this] { return m_internalServer.listen(m_settings.internal); },
+                        [this] { return m_readinessServer.listen(m_settings.readiness); },
+                        [this] { return m_directoryServer.listen(m_settings.directory); }};
+    waitForSignal();
+    start();
+    m_io.run();
+    m_log.flush();
+    return m_exitCode;
+}
+
+void query_node::start()
+{
+    const auto now = clock::now();
     const auto listening = listen();
-    if (!listening) {
-        m_log.write(event_class::StateChange, event_line("node", "start_failed").add("reason", describe(listening.error())), clock::now());
-        m_log.flush();
-        return 1;
+    if (listening) {
+        onListening();
+        return;
     }
+    const bool isFinal = now - m_startedAt > ListenTimeout;
+    m_log.write(event_class::StateChange, event_line("node", isFinal ? "start_failed" : "start_delayed").add("reason", describe(listening.error())), now);
+    m_log.flush();
+    if (isFinal) {
+        m_exitCode = 1;
+        m_io.stop();
+        return;
+    }
+    m_timers.start(now + ListenRetryInterval, [this] { start(); });
+}
+
+void query_node::onListening()
+{
+    m_isListening = true;
+    listenOnMetricsPort();
     m_log.write(event_class::StateChange,
                 event_line("node", "start")
                     .add("data_centre", m_settings.dataCentre)
@@ -272,10 +310,6 @@
                 clock::now());
     m_catalogue.start();
     housekeeping();
-    waitForSignal();
-    m_io.run();
-    m_log.flush();
-    return 0;
 }
 
 void query_node::housekeeping()
@@ -356,6 +390,11 @@
 
 void query_node::startLeaving()
 {
+    if (!m_isListening) {
+        m_log.write(event_class::StateChange, event_line("node", "exit").add("reason", "stopped before it listened"), clock::now());
+        m_io.stop();
+        return;
+    }
     m_stop.start(m_settings.stopGrace);
     m_peers.setStatus(localStatus());
     m_log.flush();
--- a/node/query_node.h
+++ b/node/query_node.h
@@ -7,6 +7,7 @@
 #include "node/target_reachability.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -26,13 +27,17 @@
     query_node(platform_settings settings, node_options options);
     ~query_node();
 
-    /// Listens and runs until SIGTERM or SIGINT has been handled. Returns the exit code of the process.
+    /// Listens and runs until SIGTERM or SIGINT has been handled. Addresses that are in use are tried again for some seconds. Returns the exit code of the
+    /// process: 1 if the addresses stayed in use.
     int run();
 
 private:
     using clock = std::chrono::steady_clock;
 
     result<void> listen();
+    void listenOnMetricsPort();
+    void start();
+    void onListening();
     boost::asio::awaitable<http_response> resolve(http_request request);
     boost::asio::awaitable<http_response> checkReadiness(http_request request);
     boost::asio::awaitable<http_response> serveInternal(http_request request);
@@ -72,6 +77,9 @@
     boost::asio::signal_set m_signals;
     std::shared_ptr<const routing_configuration> m_configuration;
     clock::time_point m_startedAt = clock::now();
+    std::vector<std::function<result<void>()>> m_pendingListens; ///< Addresses that are not bound yet.
+    bool m_isListening = false;
+    int m_exitCode = 0;
     clock::time_point m_catalogueActiveUntil{}; ///< The catalogue stays active until then, also on a standby instance.
     clock::time_point m_settingsCheckedAt{};
 };
