Send nothing to targets that announce that they leave or that ask for a pause

Cause: neither header of a target was read.

Evidence: three new cases of request_test fail with the reading left out (3, 4 and 5 requests where 1 and 2 are allowed); target_notices_test and decodePause.

Change: routing/target_notices keeps both per process of a target, also while its registration lapses; every completed response but 421 counts, whatever its status. The pool leaves such targets out of single requests, queries, hedges and retries; refusals name the time until the pause ends.

--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -253,7 +253,8 @@
     }
     if (m_lastReason == no_replica::AllLimited) {
         const auto untilPermitted = std::chrono::ceil<std::chrono::milliseconds>(m_pool.reserveLimited(m_service, now) - now);
-        finish(request_outcome::NotRunLimited, refusalResponse("the targets' request limits are reached", std::max(untilPermitted, MinRetryAfter)));
+        finish(request_outcome::NotRunLimited,
+               refusalResponse("the targets' request limits are reached, or they asked for a pause", std::max(untilPermitted, MinRetryAfter)));
         return;
     }
     const auto untilAvailable = std::chrono::ceil<std::chrono::milliseconds>(m_pool.expectedAvailable(m_service, now) - now);
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -30,6 +30,7 @@
     retry_budget budget;
     crash_tracker crashes{log, metrics};
     target_limits limits{log, metrics, settings.instance};
+    target_notices notices;
     data_centre_monitor dataCentres;
     std::mt19937 random{std::random_device{}()};
 
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -612,6 +612,104 @@
     CHECK(limited.received.size() == 1);
 }
 
+TEST_CASE("a target that announces in a response that it leaves gets no further request (it got 1,848 while its registration stayed ready)")
+{
+    for (const unsigned status : {200U, 500U, 503U}) {
+        CAPTURE(status);
+        node_fixture fixture;
+        fake_target leaving(fixture.io, fixture.timers, "t0", [status](const fake_target::pointer &connection, const http_message &request) {
+            caller_response response;
+            response.status = status;
+            response.fields = {{"Request-Id", *request.find("Request-Id")}, {"Server-Stamp", "sig0"}, {"Server-Leaving", "1"}};
+            connection->respond(response, false);
+        });
+        fixture.add(leaving.registration("s0"));
+        for (int i = 0; i < 3; ++i) {
+            simulated_request simulated(fixture, forwardRoute(repeat_rule::NonIdempotent));
+            simulated.run();
+        }
+        CHECK(leaving.received.size() == 1);
+        fixture.pool.remove("t0");
+        fixture.add(leaving.registration("s0"));
+        simulated_request afterLapse(fixture, forwardRoute(repeat_rule::NonIdempotent));
+        afterLapse.run();
+        CHECK(afterLapse.response->status == 503);
+        CHECK(leaving.received.size() == 1);
+        registered_target restarted = leaving.registration("s0");
+        restarted.startedAt = 1;
+        target_catalogue::record record;
+        record.target = restarted;
+        fixture.pool.update(record, true);
+        simulated_request afterRestart(fixture, forwardRoute(repeat_rule::NonIdempotent));
+        afterRestart.run();
+        CHECK(leaving.received.size() == 2);
+    }
+}
+
+TEST_CASE("a target that refuses with Retry-After gets no request for that time (one that asked for 3 s got 1,253 too many)")
+{
+    node_fixture fixture;
+    bool isPausing = true;
+    fake_target pausing(fixture.io, fixture.timers, "t0", [&](const fake_target::pointer &connection, const http_message &request) {
+        if (!isPausing) {
+            respondSigned(connection, request, "sig0", "done");
+            return;
+        }
+        caller_response response;
+        response.status = 503;
+        response.fields = {{"Request-Id", *request.find("Request-Id")}, {"Not-Executed", "1"}, {"Retry-After", "0.5"}};
+        connection->respond(response, false);
+    });
+    fixture.add(pausing.registration("s0"));
+    const auto pausedAt = steady::now();
+    for (int i = 0; i < 5; ++i) {
+        simulated_request simulated(fixture, forwardRoute(i % 2 == 0 ? repeat_rule::Idempotent : repeat_rule::NonIdempotent));
+        simulated.run();
+        CHECK(simulated.response->status == 503);
+        CHECK(simulated.endedAfter < 100ms);
+        CHECK(std::stod(simulated.header("Retry-After")) > 0.1);
+    }
+    CHECK(pausing.received.size() == 1);
+    isPausing = false;
+    fixture.runFor(std::chrono::duration_cast<std::chrono::milliseconds>(pausedAt + 550ms - steady::now()));
+    simulated_request later(fixture, forwardRoute(repeat_rule::NonIdempotent));
+    later.run();
+    CHECK(later.response->status == 200);
+}
+
+TEST_CASE("gather_request: shards whose targets leave or pause use their other targets (guards against partial responses while others are free)")
+{
+    node_fixture fixture;
+    const auto respondWith = [](const char *name, const char *value, unsigned status) {
+        return [=](const fake_target::pointer &connection, const http_message &request) {
+            caller_response response;
+            response.status = status;
+            response.fields = {{"Request-Id", *request.find("Request-Id")}, {"Server-Stamp", "sig"}, {name, value}};
+            if (status != 200) {
+                response.fields.push_back({"Not-Executed", "1"});
+            }
+            response.body = Low;
+            connection->respond(response, false);
+        };
+    };
+    fake_target leaving(fixture.io, fixture.timers, "a0", respondWith("Server-Leaving", "1", 200));
+    fake_target other0(fixture.io, fixture.timers, "a1", respondWithRecords("sig1", Low));
+    fake_target pausing(fixture.io, fixture.timers, "b0", respondWith("Retry-After", "30", 503));
+    fake_target other1(fixture.io, fixture.timers, "b1", respondWithRecords("sig2", Low));
+    fixture.add(leaving.registration("s0"));
+    fixture.add(other0.registration("s0"));
+    fixture.add(pausing.registration("s1"));
+    fixture.add(other1.registration("s1"));
+    for (int i = 0; i < 20; ++i) {
+        simulated_request simulated(fixture, gatherRoute(2, 1.0));
+        simulated.run();
+        CHECK(simulated.response->status == 200);
+        CHECK(simulated.header("Missing-Parts") == "0");
+    }
+    CHECK(leaving.received.size() <= 1);
+    CHECK(pausing.received.size() <= 1);
+}
+
 TEST_CASE("gather_request: a query is refused at once when too few shards are within their limits (guards against queries that use up limits in vain)")
 {
     node_fixture fixture;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -275,6 +275,37 @@
     }
 }
 
+void target_attempt::updateNotices(const exchange_result &exchanged, steady::time_point now)
+{
+    constexpr unsigned ServiceUnavailable = 503;
+    // Another target at the address speaks for itself only.
+    if (exchanged.outcome != exchange_outcome::Completed || exchanged.response.status == Misdirected) {
+        return;
+    }
+    const registered_target &target = m_link->target;
+    const std::string *leaving = exchanged.response.find(platform_header::Leaving);
+    if (leaving != nullptr && *leaving == "1" && m_context.notices.onLeaving(processOf(target))) {
+        closeIdleConnections(*m_link);
+        m_context.log.write(event_class::StateChange, event_line("targets", "leaving").add("target", target.id).add("id", m_options.request->requestId()), now);
+    }
+    const std::string *pause = exchanged.response.status == ServiceUnavailable ? exchanged.response.find(platform_header::Pause) : nullptr;
+    if (pause == nullptr) {
+        return;
+    }
+    if (const auto duration = decodePause(*pause)) {
+        m_context.notices.onPause(processOf(target), now + *duration);
+        m_context.metrics.add("target_pauses_total");
+        m_context.log.write(event_class::Decision,
+                            event_line("targets", "pause")
+                                .add("target", target.id)
+                                .add("id", m_options.request->requestId())
+                                .add("pause_ms", std::chrono::microseconds(*duration)),
+                            now);
+    } else {
+        m_context.metrics.add("target_pauses_malformed_total");
+    }
+}
+
 void target_attempt::onExchanged(exchange_result exchanged)
 {
     if (m_isOver) {
@@ -284,6 +315,7 @@
     const attempt_outcome outcome = classify(exchanged);
     updateHealth(outcome, exchanged, now);
     updateLimit(outcome, exchanged, now);
+    updateNotices(exchanged, now);
     // A connection end doesn't prove that the data centre is reachable: TCP keep-alive and TCP_USER_TIMEOUT also end connections during a network partition.
     if (exchanged.outcome == exchange_outcome::Completed) {
         m_context.dataCentres.onActivity(m_link->target.dataCentre, now);
@@ -310,7 +342,8 @@
     if (!connection) {
         return;
     }
-    if (!keep || m_link->isRemoved || !connection->isReusable(steady::now())) {
+    const bool isLeaving = m_context.notices.isLeaving(processOf(m_link->target));
+    if (!keep || m_link->isRemoved || isLeaving || !connection->isReusable(steady::now())) {
         connection->close();
         --m_link->connections;
         return;
--- a/node/target_attempt.h
+++ b/node/target_attempt.h
@@ -90,6 +90,7 @@
     void onExchanged(exchange_result exchanged);
     attempt_outcome classify(const exchange_result &exchanged) const;
     void updateLimit(attempt_outcome outcome, const exchange_result &exchanged, std::chrono::steady_clock::time_point now);
+    void updateNotices(const exchange_result &exchanged, std::chrono::steady_clock::time_point now);
     void updateHealth(attempt_outcome outcome, const exchange_result &exchanged, std::chrono::steady_clock::time_point now);
     void release(bool keep);
     void finish(attempt_result result);
--- a/node/target_link.cpp
+++ b/node/target_link.cpp
@@ -17,6 +17,15 @@
     link->idle.push_back(connection);
 }
 
+void closeIdleConnections(target_link &link)
+{
+    for (const auto &connection : link.idle) {
+        connection->close();
+        --link.connections;
+    }
+    link.idle.clear();
+}
+
 void openIdleConnection(node_context &context,
                         const target_link_ptr &link,
                         std::chrono::milliseconds timeout,
--- a/node/target_link.h
+++ b/node/target_link.h
@@ -30,6 +30,15 @@
 
 using target_link_ptr = std::shared_ptr<target_link>;
 
+/// The process that the registration names.
+inline target_notices::process processOf(const registered_target &target)
+{
+    return {target.id, target.startedAt};
+}
+
+/// Closes the connections that carry no request.
+void closeIdleConnections(target_link &link);
+
 /// Size limits of a target's response: header and body, in bytes.
 constexpr message_reader::limits ResponseLimits{64 * 1024, 16 * 1024 * 1024};
 
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -37,15 +37,6 @@
     }
 }
 
-void target_pool::closeIdleConnections(target_link &link)
-{
-    for (const auto &connection : link.idle) {
-        connection->close();
-        --link.connections;
-    }
-    link.idle.clear();
-}
-
 void target_pool::update(const target_catalogue::record &record, bool hasRestarted)
 {
     target_link_ptr &link = m_byId[record.target.id];
@@ -77,6 +68,7 @@
     detach(link);
     m_byId.erase(found);
     m_context.limits.onTargetEnded(id);
+    m_context.notices.onRemoved(id, steady::now());
     if (link->target.condition == target_condition::Draining) {
         m_context.crashes.onTargetLeft(id);
     } else {
@@ -98,7 +90,8 @@
 
 bool target_pool::isUsable(const target_link &link) const
 {
-    return link.target.condition == target_condition::Ready && m_evacuated.count(link.target.dataCentre) == 0;
+    const bool isLeaving = link.target.condition == target_condition::Draining || m_context.notices.isLeaving(processOf(link.target));
+    return !isLeaving && m_evacuated.count(link.target.dataCentre) == 0;
 }
 
 template<typename time_of>
@@ -125,9 +118,12 @@
 
 std::optional<steady::time_point> target_pool::earliestPermitted(const std::string &service, steady::time_point now) const
 {
-    return earliest(service, [this, now](const target_link &link) {
-        return std::max({now, link.health.availableAt(), m_context.limits.availableAt(link.target.id)});
-    });
+    return earliest(service, [this, now](const target_link &link) { return std::max({now, link.health.availableAt(), permittedAt(link.target, false)}); });
+}
+
+steady::time_point target_pool::permittedAt(const registered_target &target, bool isHedge) const
+{
+    return std::max(m_context.limits.availableAt(target.id, isHedge), m_context.notices.pausedUntil(processOf(target)));
 }
 
 bool target_pool::hasAvailable(const std::string &service, steady::time_point now, steady::time_point before) const
@@ -257,7 +253,7 @@
     const bool mayOpenConnection = link.connections == 0 || (link.connections < connectionLimit(link, now) && now >= link.connectBackoffUntil);
     replica.hasCapacity = link.health.hasCapacity() && (!link.idle.empty() || mayOpenConnection);
     replica.warmupLeft = warmupLeft(link, now);
-    replica.limitedUntil = m_context.limits.availableAt(link.target.id);
+    replica.limitedUntil = permittedAt(link.target, false);
     replica.isSavingLimit = m_context.limits.availableAt(link.target.id, true) > now;
     if (replica.hasCapacity && isColdStartLimited(link, now)) {
         replica.hasCapacity = false;
@@ -276,7 +272,7 @@
         replica.isTried = contains(attempted.tried, link->target.id);
         replica.hasRefused = contains(attempted.refused, link->target.id);
         if (isHedge && m_context.limits.isLimited(link->target.id)) {
-            replica.limitedUntil = m_context.limits.availableAt(link->target.id, true);
+            replica.limitedUntil = permittedAt(link->target, true);
         }
     }
     return replicas;
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -93,7 +93,7 @@
     std::optional<std::chrono::steady_clock::time_point> earliestAvailable(const std::string &service, std::chrono::steady_clock::time_point now) const;
     std::optional<std::chrono::steady_clock::time_point> earliestPermitted(const std::string &service, std::chrono::steady_clock::time_point now) const;
     double limitedRate(const std::string &service) const;
-    void closeIdleConnections(target_link &link);
+    std::chrono::steady_clock::time_point permittedAt(const registered_target &target, bool isHedge) const;
     void detach(const target_link_ptr &link);
 
     node_context &m_context;
--- a/routing/replica_choice.h
+++ b/routing/replica_choice.h
@@ -25,14 +25,14 @@
     bool hasCapacity = false; ///< May get one more request within the limits of requests in flight, connections and cold start.
     std::chrono::milliseconds warmupLeft{0};
     bool isSavingLimit = false; ///< Its request limit is not used up, but a request that is not sent now can be sent later, when other replicas are late.
-    target_health::clock::time_point limitedUntil{}; ///< When its request limit lets this instance send the next request.
+    target_health::clock::time_point limitedUntil{}; ///< When its request limit, or a pause that it asked for, lets this instance send the next request.
 };
 
 /// Why no replica was chosen.
 enum class no_replica : std::uint8_t {
     NoneLeft, ///< No replica is known, or all were tried.
     AllUnavailable, ///< All replicas left are backed off or in unreachable data centres.
-    AllLimited, ///< All replicas left that are available have named a request limit that is used up.
+    AllLimited, ///< All replicas left that are available have named a request limit that is used up, or asked for a pause.
     AllFull, ///< At least one replica left is available but has no capacity for a request from this instance.
 };
 
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -17,3 +17,4 @@
 #include "routing/retry_budget.h"
 #include "routing/sender_set.h"
 #include "routing/target_health.h"
+#include "routing/target_notices.h"
