Soak: runs with planned work only, and requests that end without a response

A request that a searcher ran and whose connection ended without a response is a finding unless an unplanned fault was active up to 4 s before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,8 +8,13 @@
 
 from soak import site as site_module
 
-REQUEST_TIMEOUT_S = 2.0
+RESPONSE_SLACK_S = 0.5
 DEADLINE_MS = 1500
+# In some runs with planned work only, some requests outlast the second half of a grace period.
+PATIENT_DEADLINE_MS = 5000
+PATIENT_WORK_MS = (15,) * 20 + (120,) * 12 + (1500,)
+PAUSE_S = (0.01, 0.08)
+PATIENT_PAUSE_S = (0.1, 0.3)  # Keeps the longer work within the searchers' slots.
 REQUEST_KINDS = (("GET", "/q/"), ("GET", "/q/"), ("GET", "/l/"), ("POST", "/c/"))
 
 
@@ -21,6 +26,7 @@
     violations: list = field(default_factory=list)  # Violated guarantees, with request ids.
     statuses: dict = field(default_factory=dict)
     is_closed: bool = False
+    unanswered: list = field(default_factory=list)  # (id, start time, end time) of requests whose connection ended without a complete response.
     refused_commands: list = field(default_factory=list)  # Ids of refused requests that are not idempotent.
 
 
@@ -42,8 +48,11 @@
 class Caller:
     """A caller with one connection at a time, which is reused until the instance closes it."""
 
-    def __init__(self, number, site, record, seed):
+    def __init__(self, number, site, record, seed, is_patient):
         self.number, self.site, self.record, self.seed = number, site, record, seed
+        self.deadline_ms = PATIENT_DEADLINE_MS if is_patient else DEADLINE_MS
+        self.work_ms = PATIENT_WORK_MS if is_patient else None
+        self.pause_s = PATIENT_PAUSE_S if is_patient else PAUSE_S
         self.rng = random.Random(f"{seed}/{number}")
         self.addresses, self.addresses_until = [], 0.0
         self.connection = None
@@ -81,7 +90,7 @@
         """Sends requests until the record is closed. A flag stops the callers because asyncio.wait_for may swallow a cancellation."""
         while not self.record.is_closed:
             await self.request()
-            await asyncio.sleep(self.rng.uniform(0.01, 0.08))
+            await asyncio.sleep(self.rng.uniform(*self.pause_s))
         self.disconnect()
 
     def disconnect(self):
@@ -95,10 +104,12 @@
         method, prefix = self.rng.choice(REQUEST_KINDS)
         started = time.monotonic()
         served = False
+        was_sent = False
         try:
             if self.connection is None:
                 await self.connect()
-            status, headers, body = await asyncio.wait_for(self.exchange(method, prefix, request_id), REQUEST_TIMEOUT_S)
+            was_sent = True
+            status, headers, body = await asyncio.wait_for(self.exchange(method, prefix, request_id), self.deadline_ms / 1000 + RESPONSE_SLACK_S)
             self.record.statuses[status] = self.record.statuses.get(status, 0) + 1
             served = status == 200
             await self.check(method, prefix, request_id, status, headers, body)
@@ -107,6 +118,8 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
             name = type(error).__name__
             self.record.statuses[name] = self.record.statuses.get(name, 0) + 1
+            if was_sent:
+                self.record.unanswered.append((request_id, started, time.monotonic()))
             self.disconnect()
             self.addresses_until = 0.0
             await asyncio.sleep(0.05)
@@ -115,8 +128,9 @@
     async def exchange(self, method, prefix, request_id):
         reader, writer = self.connection
         body = b"credit" if method == "POST" else b""
-        writer.write((f"{method} {prefix}{request_id} HTTP/1.1\r\nHost: {site_module.HOST}\r\nRequest-Id: {request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
-                      f"X-Caller-Deadline: {DEADLINE_MS}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+        work = f"X-Work-Ms: {self.rng.choice(self.work_ms)}\r\n" if self.work_ms and prefix != "/q/" else ""
+        writer.write((f"{method} {prefix}{request_id} HTTP/1.1\r\nHost: {site_module.HOST}\r\nRequest-Id: {request_id}\r\nDeadline-Ms: {self.deadline_ms}\r\n"
+                      f"X-Caller-Deadline: {self.deadline_ms}\r\n{work}Content-Length: {len(body)}\r\n\r\n").encode() + body)
         return await read_response(reader)
 
     async def check(self, method, prefix, request_id, status, headers, body):
@@ -146,5 +160,5 @@
         self.record.violations += [f"{request_id}: {name}" for name, is_violated in violations.items() if is_violated]
 
 
-def make_callers(site, record, count, seed):
-    return [Caller(number, site, record, seed) for number in range(count)]
+def make_callers(site, record, count, seed, is_patient):
+    return [Caller(number, site, record, seed, is_patient) for number in range(count)]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,9 @@
 """Randomized faults of a soak run, determined by a seed. Faults may overlap; all of them end before the run does."""
 
 import asyncio
+import random
 import signal
+import time
 
 from soak import site as site_module
 
@@ -9,14 +11,23 @@
 SEARCHER_CONDITIONS = ("slow", "hanging", "failing", "breaking_off", "shedding", "surplus", "down")
 
 
+CONTACT_SECONDS = 4  # An unplanned fault excuses what happens until this long after its end.
+PLANNED_RUN_INTERVAL = 3  # Every third seed injects planned work only,
+PATIENT_RUN_INTERVAL = 6  # and every sixth has some long requests besides.
+
+
 class Faults:
-    def __init__(self, site, rng, log):
-        self.site, self.rng, self.log = site, rng, log
+    def __init__(self, site, seed, log):
+        self.site, self.rng, self.log = site, random.Random(seed), log
         self.version = 1
-        self.planned_only = True  # No faults other than planned stops and configuration changes have been injected.
+        self.unplanned = []  # Start and end time of each unplanned fault.
         self.faults = [self.kill, self.pause, self.stop, self.hang_up, self.cut_store, self.store_outage, self.slow_store, self.forget_history,
                        self.searchers_fail, self.searcher_restarts, self.searcher_drains, self.configure, self.configure_often, self.evacuate,
                        self.kill_many]
+        self.is_planned_run = seed % PLANNED_RUN_INTERVAL == 1
+        self.is_patient_run = seed % PATIENT_RUN_INTERVAL == 1
+        if self.is_planned_run:
+            self.faults = [self.stop, self.roll, self.roll, self.hang_up, self.configure, self.evacuate, self.searcher_drains]
 
     async def inject(self, seconds):
         """Starts faults at random times, also while others are active. Returns when all have ended."""
@@ -26,12 +37,24 @@
         while loop.time() < end_time:
             fault = self.rng.choice(self.faults)
             self.log(f"fault {fault.__name__}")
-            if fault not in (self.stop, self.configure, self.configure_often, self.hang_up):
-                self.planned_only = False
-            active.append(asyncio.create_task(fault()))
+            active.append(asyncio.create_task(self.run(fault)))
             await asyncio.sleep(self.rng.uniform(0.3, 2.5))
         await asyncio.gather(*active)
 
+    async def run(self, fault):
+        is_planned = fault in (self.stop, self.roll, self.hang_up, self.configure, self.configure_often, self.evacuate, self.searcher_drains)
+        started = time.monotonic()
+        if not is_planned:
+            interval = [started, float("inf")]
+            self.unplanned.append(interval)
+        await fault()
+        if not is_planned:
+            interval[1] = time.monotonic()
+
+    def is_calm(self, begin, end):
+        """Returns whether no unplanned fault was active from CONTACT_SECONDS before the first time until the second one."""
+        return all(fault_end + CONTACT_SECONDS < begin or end < fault_start for fault_start, fault_end in self.unplanned)
+
     def pick_instances(self, max_count):
         return site_module.pick(self.rng, self.site.instances, max_count)
 
@@ -61,15 +84,29 @@
             instance.send_signal(signal.SIGCONT)
 
     async def stop(self):
-        instance = self.rng.choice(self.site.instances)
+        await self.stop_instance(self.rng.choice(self.site.instances))
+
+    async def stop_instance(self, instance, further_signals=()):
         instance.send_signal(signal.SIGTERM)
-        for _ in range(site_module.GRACE_SECONDS * 10):
-            await asyncio.sleep(0.1)
-            if not instance.is_running():
-                break
+        end = time.monotonic() + site_module.GRACE_SECONDS
+        for number in further_signals:
+            await asyncio.sleep(0.2)
+            instance.send_signal(number)
+        while instance.is_running() and time.monotonic() < end:
+            await asyncio.sleep(0.02)
         instance.kill()
         await self.restart(instance)
 
+    async def roll(self):
+        """Stops several instances one after the other, so that their grace periods overlap; some get further signals meanwhile."""
+        gap = self.rng.uniform(0.1, 1.5)
+        stops = []
+        for instance in self.pick_instances(self.site.count):
+            further_signals = self.rng.choice(((), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM), (signal.SIGHUP,)))
+            stops.append(asyncio.create_task(self.stop_instance(instance, further_signals)))
+            await asyncio.sleep(gap)
+        await asyncio.gather(*stops)
+
     async def hang_up(self):
         for instance in self.pick_instances(3):
             instance.send_signal(signal.SIGHUP)
@@ -119,7 +156,7 @@
 
     async def configure(self):
         self.version += self.rng.randint(1, 5)
-        changed = site_module.configuration(self.version, self.rng.choice("ab"), self.rng.choice((1200, 1500)))
+        changed = site_module.configuration(self.version, self.rng.choice("ab"), self.rng.choice((5000, 6000) if self.is_patient_run else (1200, 1500)))
         await self.site.admin_request("/configuration", changed)
 
     async def configure_often(self):
--- a/standins/standin_searcher.cpp
+++ b/standins/standin_searcher.cpp
@@ -169,12 +169,15 @@
     ++m_runningJobs;
     ++m_findings.runs;
     const std::string *id = next.message.find("Request-Id");
-    if (next.message.method == "POST" && id != nullptr && m_ledger.record(*id)) {
+    const bool isRepeated = id != nullptr && m_ledger.record(*id);
+    if (next.message.method == "POST" && isRepeated) {
         ++m_findings.repeatedRuns;
         logWarning("site", "request " + *id + " ran more than once; repeated by searcher " + m_values.id);
     }
+    const std::string *requested = next.message.find("X-Work-Ms");
+    const auto work = requested == nullptr ? m_values.work : std::chrono::milliseconds(std::atoi(requested->c_str()));
     const double factor = std::uniform_real_distribution<double>(0.6, 1.5)(m_random) * (m_condition == searcher_condition::Slow ? SlowFactor : 1);
-    const auto duration = std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(m_values.work.count()) * 1000 * factor));
+    const auto duration = std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(work.count()) * 1000 * factor));
     const bool isHanging = m_condition == searcher_condition::Hanging;
     const auto end = isHanging ? next.deadline : std::min(clock::now() + duration, next.deadline);
     m_timers.start(end, [this, alive = m_alive, isHanging, completed = std::move(next)] {
