--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,8 +26,10 @@
                        self.kill_many]
         self.is_planned_run = seed % PLANNED_RUN_INTERVAL == 1
         self.is_patient_run = seed % PATIENT_RUN_INTERVAL == 1
+        planned_work = [self.stop, self.roll, self.roll, self.hang_up, self.configure, self.evacuate, self.searcher_drains]
+        self.planned_faults = [*planned_work, self.configure_often]
         if self.is_planned_run:
-            self.faults = [self.stop, self.roll, self.roll, self.hang_up, self.configure, self.evacuate, self.searcher_drains]
+            self.faults = planned_work
 
     async def inject(self, seconds):
         """Starts faults at random times, also while others are active. Returns when all have ended."""
@@ -42,14 +44,13 @@
         await asyncio.gather(*active)
 
     async def run(self, fault):
-        is_planned = fault in (self.stop, self.roll, self.hang_up, self.configure, self.configure_often, self.evacuate, self.searcher_drains)
-        started = time.monotonic()
-        if not is_planned:
-            interval = [started, float("inf")]
-            self.unplanned.append(interval)
+        if fault in self.planned_faults:
+            await fault()
+            return
+        interval = [time.monotonic(), float("inf")]
+        self.unplanned.append(interval)
         await fault()
-        if not is_planned:
-            interval[1] = time.monotonic()
+        interval[1] = time.monotonic()
 
     def is_calm(self, begin, end):
         """Returns whether no unplanned fault was active from CONTACT_SECONDS before the first time until the second one."""
