Rest limits of requests in flight on evidence of a queue, not on the spread of the work

Change: routing/in_flight_limit. A sequential test (likelihood ratio) against the share of slow responses that the route has without a queue; slow means a third of the objective above the 25th percentile, both the minimum over the last 30 to 60 s (routing/unqueued_latency). Slow responses never cut below the instance's share of the slots, only refusals do. Requests sent before a cut are no evidence for the next. Growth is by time.

The test "requests in flight are limited while responses are slow" now sends its slow requests one after the other, as those sent before a cut no longer count; its bounds are the same.

--- a/emulator/event_simulator.h
+++ b/emulator/event_simulator.h
@@ -8,7 +8,7 @@
 namespace balsamhook
 {
 
-/// Discrete-event simulation for tests: runs scheduled actions in the order of their simulated times.
+/// Discrete-event simulation: runs scheduled actions in the order of their simulated times. Not thread-safe.
 class event_simulator
 {
 public:
--- a/node/caller_request.h
+++ b/node/caller_request.h
@@ -58,11 +58,25 @@
 struct route_statistics
 {
     latency_window latency; ///< Of successful responses of single targets.
-    latency_baseline baseline;
-    std::uint64_t responses = 0; ///< Successful responses to sub-queries; stays 0 for forward routes.
-    std::uint64_t responsesEvaluated = 0; ///< Value of responses when the baseline was last updated.
+    unqueued_latency unqueued;
     std::chrono::milliseconds objective{0}; ///< Latency objective of the route.
+    latency_baseline baseline{};
+    std::uint64_t responses = 0; ///< Successful responses of single targets.
+    std::uint64_t responsesEvaluated = 0; ///< Value of responses when the baseline was last updated.
+    bool isGather = false;
     std::chrono::milliseconds maxCallerTimeout{0}; ///< Longest so far; a caller's retry arrives with what is left of it.
+
+    /// Records the successful response of a target.
+    void onResponse(std::chrono::microseconds duration)
+    {
+        latency.add(duration);
+        ++responses;
+    }
+
+    latency_profile profile() const
+    {
+        return unqueued.profile(latency, objective);
+    }
 };
 
 /// Returns a 503 response with Retry-After. Precondition: no target has run or will run the request.
--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -145,8 +145,9 @@
             continue;
         }
         statistics.responsesEvaluated = statistics.responses;
+        statistics.unqueued.observe(statistics.latency, statistics.objective, now);
         statistics.baseline.observe(statistics.latency, now);
-        isOverloaded = isOverloaded || statistics.baseline.isOverloaded(statistics.objective);
+        isOverloaded = isOverloaded || (statistics.isGather && statistics.baseline.isOverloaded(statistics.objective));
     }
     const bool wasLimited = m_queryLimiter.isLimited();
     m_queryLimiter.adjust(isOverloaded);
@@ -268,8 +269,10 @@
     // An eighth of the objective is the assumed latency of targets until responses are measured.
     constexpr int InitialLatencyDivisor = 8;
     const auto initialLatency = std::chrono::duration_cast<std::chrono::microseconds>(matched.objective) / InitialLatencyDivisor;
-    route_statistics &statistics = m_statistics.try_emplace(matched.name, route_statistics{latency_window(initialLatency)}).first->second;
+    route_statistics &statistics
+        = m_statistics.try_emplace(matched.name, route_statistics{latency_window(initialLatency), unqueued_latency(initialLatency)}).first->second;
     statistics.objective = matched.objective;
+    statistics.isGather = std::holds_alternative<gather_destination>(matched.destination);
     return statistics;
 }
 
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -84,6 +84,7 @@
 void forward_request::waitForReplica(const replica_decision &decision, clock::time_point now)
 {
     m_lastReason = decision.reason;
+    m_lastFullReason = decision.fullReason;
     const bool areAllAttempted = decision.reason == no_replica::NoneLeft && !m_attempted.tried.empty();
     clock::time_point expected = now;
     if (decision.reason == no_replica::AllLimited) {
@@ -114,7 +115,7 @@
     } else if (isIdempotent()) {
         m_hedgeAt = now + hedgeDelay(m_statistics.latency, m_request.matched->objective, HedgeObjectiveShare);
     }
-    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.latency.median(), isIdempotent(), m_attempted.connections};
+    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.profile(), isIdempotent(), m_attempted.connections};
     // The handler needs the attempt, which send() returns. It is called from the event loop, so the pointer is set by then.
     const auto sentAttempt = std::make_shared<target_attempt_ptr>();
     *sentAttempt = m_pool.send(link, std::move(options), [self = shared_from_this(), sentAttempt](attempt_result result) {
@@ -132,7 +133,7 @@
     const auto now = clock::now();
     std::erase(m_attempts, attempt);
     if (result.outcome == attempt_outcome::Success) {
-        m_statistics.latency.add(result.duration);
+        m_statistics.onResponse(result.duration);
         m_context.crashes.onCompleted(*m_request.outgoing, boot_clock::now());
         forwardResponse(request_outcome::Complete, result.response);
         return;
@@ -247,6 +248,7 @@
     }
     logRefusal(now);
     if (m_lastReason == no_replica::AllFull) {
+        m_context.metrics.add(std::string("requests_refused_full_total{limit=\"").append(nameOf(m_lastFullReason)).append("\"}"));
         finish(request_outcome::NotRunFull,
                refusalResponse("all targets are full", std::chrono::duration_cast<std::chrono::milliseconds>(m_statistics.latency.median())));
         return;
@@ -303,6 +305,7 @@
                             .add("id", m_request.outgoing->requestId())
                             .add("service", m_service)
                             .add("reason", nameOf(m_lastReason))
+                            .add("limit", m_lastReason == no_replica::AllFull ? nameOf(m_lastFullReason) : "none")
                             .add("targets", static_cast<std::uint64_t>(m_pool.usable(m_service).size()))
                             .add("attempted", static_cast<std::uint64_t>(m_attempted.sends()))
                             .add("waited_ms", std::chrono::duration_cast<std::chrono::microseconds>(now - m_request.arrivedAt))
--- a/node/forward_request.h
+++ b/node/forward_request.h
@@ -56,6 +56,7 @@
     std::unique_ptr<http_message> m_failure; ///< Failure response of a target; forwarded when no attempt succeeds.
     unsigned m_sends = 0; ///< Attempts in flight, and ended ones that may have run.
     no_replica m_lastReason = no_replica::NoneLeft;
+    full_reason m_lastFullReason = full_reason::InFlight; ///< Valid when m_lastReason is AllFull.
     bool m_hasSent = false; ///< The first send was made, so each further one is an extra send.
     bool m_wasHedged = false;
     bool m_mayHaveRun = false;
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -128,6 +128,7 @@
             return;
         }
         shard.lastReason = decision.reason;
+        shard.lastFullReason = decision.fullReason;
         // Before the deadline new targets may register, and full ones may get free capacity.
         shard.retryAt = now + ReplicaPollInterval;
         if (decision.reason == no_replica::AllUnavailable || decision.reason == no_replica::AllLimited) {
@@ -182,7 +183,7 @@
     } else {
         shard.hedgeAt = now + hedgeDelay(m_statistics.latency, m_request.matched->objective, HedgeObjectiveShare);
     }
-    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.latency.median(), true, shard.attempted.connections};
+    attempt_options options{m_request.outgoing, m_request.deadline, m_statistics.profile(), true, shard.attempted.connections};
     // The handler needs the attempt, which send() returns. It is called from the event loop, so the pointer is set by then.
     const auto sentAttempt = std::make_shared<target_attempt_ptr>();
     *sentAttempt = m_pool.send(link, std::move(options), [self = shared_from_this(), index, sentAttempt](attempt_result result) {
@@ -227,8 +228,7 @@
         return;
     }
     shard.isDone = true;
-    m_statistics.latency.add(result.duration);
-    ++m_statistics.responses;
+    m_statistics.onResponse(result.duration);
     m_signatures.push_back(*result.response.find(platform_header::Signature));
     m_records.add(result.response.body);
     abandonAttempts(shard, false);
@@ -476,6 +476,9 @@
 {
     for (const shard_state &shard : m_shards) {
         if (!shard.isDone) {
+            if (shard.attempts.empty() && shard.lastReason == no_replica::AllFull) {
+                m_context.metrics.add(std::string("shards_missing_full_total{limit=\"").append(nameOf(shard.lastFullReason)).append("\"}"));
+            }
             const std::string target = shard.attempted.sends() == 0 ? "none" : shard.attempted.last();
             logDecision("shard_missing", shard, target, shard.attempts.empty() ? nameOf(shard.lastReason).data() : "late");
         }
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -36,6 +36,7 @@
         attempted_targets attempted;
         unsigned sends = 0; ///< Attempts in flight, and ended ones that may have run.
         no_replica lastReason = no_replica::NoneLeft; ///< Why no replica was found; valid while no attempt is in flight.
+        full_reason lastFullReason = full_reason::InFlight; ///< Valid when lastReason is AllFull.
         bool hasSent = false; ///< The first send was made, so each further one is an extra send.
         bool wasHedged = false;
         bool isDone = false;
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -42,7 +42,7 @@
 {
     simulated_request(node_fixture &fixture, route matched, http_message sent = requestMessage())
         : m_fixture(fixture)
-        , m_statistics{latency_window(8ms)}
+        , m_statistics{latency_window(8ms), unqueued_latency(8ms), matched.objective}
     {
         m_request.configuration = std::make_shared<const routing_configuration>(
             5, std::vector<route>{std::move(matched)}, std::unordered_map<std::string, service_settings>{}, caller_limits{});
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -224,13 +224,13 @@
     const bool wasOverLimit = wasDropped && !m_isReused;
     switch (outcome) {
     case attempt_outcome::Success:
-        health.onResponse(m_startedAt, now, m_options.typicalLatency);
+        health.onResponse(m_startedAt, now, m_options.usual);
         break;
     case attempt_outcome::TargetFailure:
         if (exchanged.response.status >= ServerError && exchanged.response.status != GatewayTimeout) {
             health.onFailed(m_startedAt, now);
         } else {
-            health.onAbandoned(m_startedAt, now, m_options.typicalLatency);
+            health.onAbandoned(m_startedAt, now, m_options.usual);
         }
         break;
     case attempt_outcome::NotRun:
@@ -243,8 +243,7 @@
     case attempt_outcome::Unreachable:
     case attempt_outcome::Lost:
         if (wasIdleConnectionClosed) {
-            // With a typical latency of an hour the request doesn't count as overdue.
-            health.onAbandoned(m_startedAt, now, std::chrono::hours(1));
+            health.onDiscarded(m_startedAt);
         } else if (wasOverLimit) {
             health.onRefused(m_startedAt, now);
             m_link->connectBackoffUntil = now + ConnectionLimitBackoff;
@@ -359,7 +358,7 @@
     m_isOver = true;
     if (!m_wasSent) {
         // Nothing was sent, and onOpenFailed() has updated the target's health; this only removes the request from those in flight.
-        m_link->health.onAbandoned(m_startedAt, m_startedAt, m_options.typicalLatency);
+        m_link->health.onDiscarded(m_startedAt);
     }
     const handler done = std::move(m_done);
     m_done = nullptr;
@@ -378,7 +377,7 @@
     if (shouldCancel || !m_wasSent) {
         m_isOver = true;
         m_context.timers.stop(m_timer);
-        m_link->health.onAbandoned(m_startedAt, now, m_options.typicalLatency);
+        m_link->health.onAbandoned(m_startedAt, now, m_options.usual);
         release(false);
         return;
     }
--- a/node/target_attempt.h
+++ b/node/target_attempt.h
@@ -56,7 +56,7 @@
 {
     std::shared_ptr<const outgoing_request> request;
     std::chrono::steady_clock::time_point deadline; ///< Sent to the target as the time left.
-    std::chrono::microseconds typicalLatency{0}; ///< Median latency of the route, for the target's health.
+    latency_profile usual; ///< Latency of the route, for the target's health.
     bool isIdempotent = true; ///< When false, only a new or recently used connection is used.
     std::vector<std::uint64_t> usedConnections; ///< A late response to an earlier send of the request may arrive on these, so they are not used again.
 };
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -53,6 +53,7 @@
     link->target = record.target;
     link->isStale = record.isStale;
     link->registrationReadAt = record.updatedAt;
+    setRoom(*link);
     if (record.target.condition == target_condition::Draining) {
         closeIdleConnections(*link);
     }
@@ -86,6 +87,14 @@
 {
     m_configuration = std::move(configuration);
     m_senderCount = std::max(1U, senderCount);
+    for (const auto &[id, link] : m_byId) {
+        setRoom(*link);
+    }
+}
+
+void target_pool::setRoom(target_link &link) const
+{
+    link.health.setRoom({std::max(1U, link.target.slots), m_senderCount});
 }
 
 bool target_pool::isUsable(const target_link &link) const
@@ -251,12 +260,15 @@
     replica.isStale = link.isStale;
     replica.isUnreachable = m_context.dataCentres.isUnreachable(link.target.dataCentre);
     const bool mayOpenConnection = link.connections == 0 || (link.connections < connectionLimit(link, now) && now >= link.connectBackoffUntil);
-    replica.hasCapacity = link.health.hasCapacity() && (!link.idle.empty() || mayOpenConnection);
+    const bool hasConnection = !link.idle.empty() || mayOpenConnection;
+    replica.hasCapacity = link.health.hasCapacity(now) && hasConnection;
+    replica.fullReason = hasConnection ? full_reason::InFlight : full_reason::Connections;
     replica.warmupLeft = warmupLeft(link, now);
     replica.limitedUntil = permittedAt(link.target, false);
     replica.isSavingLimit = m_context.limits.availableAt(link.target.id, true) > now;
     if (replica.hasCapacity && isColdStartLimited(link, now)) {
         replica.hasCapacity = false;
+        replica.fullReason = full_reason::ColdStart;
     }
     return replica;
 }
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -80,6 +80,7 @@
     std::size_t size() const;
 
 private:
+    void setRoom(target_link &link) const;
     unsigned connectionLimit(const target_link &link, std::chrono::steady_clock::time_point now) const;
     std::chrono::milliseconds warmupLeft(const target_link &link, std::chrono::steady_clock::time_point now) const;
     double coldStartRate(const target_link &link, std::chrono::steady_clock::time_point now) const;
--- a/routing/concurrency_limiter.cpp
+++ b/routing/concurrency_limiter.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr std::chrono::seconds BaselinePeriod{30};
 /// A median of this many times the minimum means that most targets have queues.
 constexpr double OverloadedRatio = 2;
 /// A median below the objective divided by this is no overload.
@@ -30,19 +29,16 @@
 void latency_baseline::observe(const latency_window &latency, clock::time_point now)
 {
     m_last = latency.median();
-    if (now >= m_periodEndsAt) {
-        m_previousMinimum = m_minimum;
-        m_minimum = std::chrono::microseconds(0);
-        m_periodEndsAt = now + BaselinePeriod;
-    }
-    m_minimum = m_minimum.count() == 0 ? m_last : std::min(m_minimum, m_last);
+    m_minimum.add(static_cast<double>(m_last.count()), now);
 }
 
 bool latency_baseline::isOverloaded(std::chrono::milliseconds objective) const
 {
-    const auto baseline = m_previousMinimum.count() == 0 ? m_minimum : std::min(m_minimum, m_previousMinimum);
-    const double threshold = std::max(static_cast<double>(baseline.count()) * OverloadedRatio,
-                                      static_cast<double>(std::chrono::microseconds(objective).count()) / ObjectiveDivisor);
+    if (m_minimum.isEmpty()) {
+        return false;
+    }
+    const double threshold
+        = std::max(m_minimum.value() * OverloadedRatio, static_cast<double>(std::chrono::microseconds(objective).count()) / ObjectiveDivisor);
     return static_cast<double>(m_last.count()) > threshold;
 }
 
--- a/routing/concurrency_limiter.h
+++ b/routing/concurrency_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/latency_window.h"
+#include "routing/recent_minimum.h"
 
 #include <chrono>
 #include <cstddef>
@@ -17,15 +18,12 @@
     /// Records the current median of the window. To be called only when the window has new samples, as an old median doesn't reflect the load.
     void observe(const latency_window &latency, clock::time_point now);
 
-    /// True when the last median is far above the minimum of the current and the previous period of 30 s, and above a quarter of the latency
-    /// objective.
+    /// True when the last median is far above the recent minimum and above a quarter of the latency objective.
     bool isOverloaded(std::chrono::milliseconds objective) const;
 
 private:
     std::chrono::microseconds m_last{0};
-    std::chrono::microseconds m_minimum{0}; ///< Of the current period; 0: none yet.
-    std::chrono::microseconds m_previousMinimum{0}; ///< Of the previous period.
-    clock::time_point m_periodEndsAt{};
+    recent_minimum m_minimum; ///< Microseconds.
 };
 
 /// Input for the admission of a query.
--- a/routing/latency_window.cpp
+++ b/routing/latency_window.cpp
@@ -1,5 +1,7 @@
 #include "routing/latency_window.h"
 
+#include "base/assert.h"
+
 #include <algorithm>
 
 namespace balsamhook
@@ -35,13 +37,29 @@
 void latency_window::refresh()
 {
     m_samplesSinceRefresh = 0;
+    m_median = percentile(0.5);
+    m_percentile90 = percentile(0.9);
+}
+
+latency_window::microseconds latency_window::percentile(double share) const
+{
+    BALSAM_ASSERT(share >= 0 && share < 1);
+    if (m_samples.empty()) {
+        return m_median;
+    }
     std::vector<microseconds> sorted = m_samples;
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
-    std::nth_element(sorted.begin(), middle, sorted.end());
-    m_median = *middle;
-    const auto high = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() * 9 / 10);
-    std::nth_element(sorted.begin(), high, sorted.end());
-    m_percentile90 = *high;
+    const auto selected = sorted.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(sorted.size()) * share);
+    std::nth_element(sorted.begin(), selected, sorted.end());
+    return *selected;
+}
+
+double latency_window::shareAbove(microseconds latency) const
+{
+    if (m_samples.empty()) {
+        return 0;
+    }
+    const auto above = std::count_if(m_samples.begin(), m_samples.end(), [latency](microseconds sample) { return sample > latency; });
+    return static_cast<double>(above) / static_cast<double>(m_samples.size());
 }
 
 latency_window::microseconds latency_window::median() const
--- a/routing/latency_window.h
+++ b/routing/latency_window.h
@@ -7,6 +7,14 @@
 namespace balsamhook
 {
 
+/// Usual latency of a kind of request, by which the responses of a single target are judged.
+struct latency_profile
+{
+    std::chrono::microseconds median{0}; ///< Over all targets.
+    std::chrono::microseconds slowAfter{0}; ///< A response that takes longer is slow.
+    double slowShare = 0; ///< Of the responses, while targets have no queue; 0 to 1.
+};
+
 /// Median and 90th percentile of the most recent latencies of one kind of request, recomputed after every 16 samples. Not thread-safe.
 class latency_window
 {
@@ -21,6 +29,12 @@
     microseconds median() const;
     microseconds percentile90() const;
 
+    /// Returns a percentile, given as a share of 0 to 1 (exclusive), of the samples; the initial estimate while there are none.
+    microseconds percentile(double share) const;
+
+    /// Returns the share of the samples that are longer; 0 while there are none.
+    double shareAbove(microseconds latency) const;
+
 private:
     void refresh();
 
--- a/routing/overload_test.cpp
+++ b/routing/overload_test.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "emulator/event_simulator.h"
 #include "routing/routing.h"
-#include "routing/routing_test_support.h"
 
 #include <algorithm>
 #include <array>
@@ -19,9 +19,9 @@
 using time_point = target_health::clock::time_point;
 const time_point Start{1h};
 
-constexpr std::size_t Senders = 6;
+constexpr unsigned Senders = 6;
 constexpr std::size_t Shards = 10;
-constexpr std::size_t Slots = 2;
+constexpr unsigned Slots = 2;
 constexpr std::size_t QueueLength = 12;
 constexpr std::chrono::microseconds ServiceTime{14000};
 constexpr std::chrono::milliseconds Objective{110};
@@ -42,6 +42,9 @@
     {
         for (sender &each : m_senders) {
             each.health.resize(Shards * 2);
+            for (target_health &health : each.health) {
+                health.setRoom({Slots, Senders});
+            }
         }
     }
 
@@ -67,6 +70,7 @@
         std::vector<target_health> health; ///< Two replicas for each shard.
         latency_window latency{ServiceTime};
         latency_baseline baseline;
+        unqueued_latency unqueued{ServiceTime};
         concurrency_limiter limiter;
     };
 
@@ -96,6 +100,7 @@
     {
         for (sender &each : m_senders) {
             each.baseline.observe(each.latency, m_simulator.now());
+            each.unqueued.observe(each.latency, Objective, m_simulator.now());
             each.limiter.adjust(each.baseline.isOverloaded(Objective));
         }
     }
@@ -126,7 +131,7 @@
             views[i].health = &origin.health[shard * 2 + i];
             views[i].slots = Slots;
             views[i].isLocal = true;
-            views[i].hasCapacity = views[i].health->hasCapacity();
+            views[i].hasCapacity = views[i].health->hasCapacity(m_simulator.now());
         }
         const replica_decision decision = chooseReplica(views, ServiceTime, m_simulator.now(), std::uniform_real_distribution<double>(0, 1)(m_random));
         if (!decision.chosen || current->isOver) {
@@ -163,7 +168,7 @@
     {
         --m_replicas[ended.target].busy;
         sender &origin = m_senders[ended.parent->sender];
-        origin.health[ended.target].onResponse(ended.sentAt, m_simulator.now(), origin.latency.median());
+        origin.health[ended.target].onResponse(ended.sentAt, m_simulator.now(), origin.unqueued.profile(origin.latency, Objective));
         origin.latency.add(std::chrono::duration_cast<std::chrono::microseconds>(m_simulator.now() - ended.sentAt));
         if (++ended.parent->parts == Shards && !ended.parent->isOver) {
             m_queriesInTime += ended.parent->isCounted && m_simulator.now() <= ended.parent->arrivedAt + Objective ? 1 : 0;
--- a/routing/replica_choice.cpp
+++ b/routing/replica_choice.cpp
@@ -68,6 +68,19 @@
     return "unknown";
 }
 
+std::string_view nameOf(full_reason reason)
+{
+    switch (reason) {
+    case full_reason::InFlight:
+        return "in_flight";
+    case full_reason::Connections:
+        return "connections";
+    case full_reason::ColdStart:
+        return "cold_start";
+    }
+    return "unknown";
+}
+
 replica_decision
 chooseReplica(const std::vector<replica_view> &replicas, std::chrono::microseconds typical, target_health::clock::time_point now, double random)
 {
@@ -92,6 +105,7 @@
         }
         if (!replica.hasCapacity) {
             decision.reason = no_replica::AllFull;
+            decision.fullReason = replica.fullReason;
             continue;
         }
         const auto expected = replica.health->expectedLatency(typical, replica.slots, now);
--- a/routing/replica_choice.h
+++ b/routing/replica_choice.h
@@ -12,6 +12,15 @@
 namespace balsamhook
 {
 
+/// Which limit keeps an available target from getting one more request.
+enum class full_reason : std::uint8_t {
+    InFlight, ///< The limit of requests in flight from this instance.
+    Connections, ///< This instance's share of the target's connections.
+    ColdStart, ///< The rate of requests that a cold target bears.
+};
+
+std::string_view nameOf(full_reason reason);
+
 /// Input for the choice: state of one replica.
 struct replica_view
 {
@@ -23,6 +32,7 @@
     bool hasRefused = false; ///< An earlier attempt was refused and didn't run; retried only when no other replica is left.
     bool isUnreachable = false; ///< Its whole data centre is unreachable from this instance.
     bool hasCapacity = false; ///< May get one more request within the limits of requests in flight, connections and cold start.
+    full_reason fullReason = full_reason::InFlight; ///< Valid unless hasCapacity.
     std::chrono::milliseconds warmupLeft{0};
     bool isSavingLimit = false; ///< Its request limit is not used up, but a request that is not sent now can be sent later, when other replicas are late.
     target_health::clock::time_point limitedUntil{}; ///< When its request limit, or a pause that it asked for, lets this instance send the next request.
@@ -43,6 +53,7 @@
     std::optional<std::size_t> chosen; ///< Index into the views.
     std::chrono::microseconds expected{0}; ///< Expected latency of the chosen replica.
     no_replica reason = no_replica::NoneLeft; ///< Valid when none was chosen.
+    full_reason fullReason = full_reason::InFlight; ///< Of the last full replica; valid for AllFull.
     target_health::clock::time_point retryAt{}; ///< Earliest retry of an unavailable or limited replica; valid for AllUnavailable and AllLimited.
 };
 
--- a/routing/routing_test.cpp
+++ b/routing/routing_test.cpp
@@ -14,11 +14,12 @@
 using time_point = target_health::clock::time_point;
 const time_point Start{1h};
 constexpr std::chrono::microseconds Typical{10000};
+constexpr latency_profile Usual{Typical, Typical * 3, 0.01};
 
 void respondOnce(target_health &health, time_point sentAt, std::chrono::microseconds latency)
 {
     health.onSent(sentAt);
-    health.onResponse(sentAt, sentAt + latency, Typical);
+    health.onResponse(sentAt, sentAt + latency, Usual);
 }
 
 replica_view viewOf(const target_health &health, bool isLocal = true)
@@ -123,19 +124,85 @@
 TEST_CASE("target_health: requests in flight are limited while responses are slow (guards against keeping a target overloaded)")
 {
     target_health health;
+    time_point now = Start;
     for (int i = 0; i < 10; ++i) {
-        respondOnce(health, Start, 80ms);
+        respondOnce(health, now, 80ms);
+        now += 80ms;
     }
-    CHECK(health.hasCapacity());
-    health.onSent(Start);
-    CHECK_FALSE(health.hasCapacity());
-    health.onResponse(Start, Start + 8ms, Typical);
+    CHECK(health.hasCapacity(now));
+    health.onSent(now);
+    CHECK_FALSE(health.hasCapacity(now));
+    health.onResponse(now, now + 8ms, Usual);
     for (int i = 0; i < 20; ++i) {
-        respondOnce(health, Start, 8ms);
+        now += 80ms;
+        respondOnce(health, now, 8ms);
     }
-    health.onSent(Start);
-    health.onSent(Start);
-    CHECK(health.hasCapacity());
+    health.onSent(now);
+    health.onSent(now);
+    CHECK(health.hasCapacity(now));
+}
+
+TEST_CASE("in_flight_limit: long requests among short ones are no queue (guards against refusals with free slots where the work of requests differs)")
+{
+    in_flight_limit limit;
+    limit.setRoom({30, 2});
+    constexpr latency_profile Mixed{120ms, 220ms, 0.4};
+    time_point now = Start;
+    for (int i = 0; i < 300; ++i) {
+        limit.onLatency(now, now + (i % 5 < 2 ? 2000ms : 100ms), Mixed, 10);
+        now += 20ms;
+    }
+    CHECK(limit.permits(50, now));
+}
+
+TEST_CASE("in_flight_limit: a run of slow responses shrinks the limit to the instance's share of the slots, a refusal to one (guards against a full queue)")
+{
+    in_flight_limit limit;
+    limit.setRoom({30, 2});
+    time_point now = Start;
+    for (int i = 0; i < 40; ++i) {
+        limit.onLatency(now, now + 300ms, Usual, 40);
+        now += 300ms;
+    }
+    CHECK(limit.at(now) >= 15);
+    CHECK(limit.at(now) < 20);
+    for (int i = 0; i < 10; ++i) {
+        limit.onRefused(now, now, 20);
+    }
+    CHECK(limit.at(now) == 1);
+}
+
+TEST_CASE("in_flight_limit: recovers in 6 s without any response (guards against a target without requests that stays limited)")
+{
+    in_flight_limit limit;
+    limit.setRoom({2, 6});
+    for (int i = 0; i < 5; ++i) {
+        limit.onRefused(Start, Start, 4);
+    }
+    CHECK_FALSE(limit.permits(1, Start));
+    CHECK(limit.permits(1, Start + 1s));
+    CHECK(limit.permits(7, Start + 6s));
+}
+
+TEST_CASE("unqueued_latency: a queue doesn't raise what counts as slow within a minute, a lasting change of the work does (guards against a limit that follows "
+          "the queue it should prevent)")
+{
+    unqueued_latency unqueued(50ms);
+    latency_window latency(50ms);
+    const auto observe = [&](std::chrono::microseconds sample, time_point now) {
+        for (int i = 0; i < 256; ++i) {
+            latency.add(sample);
+        }
+        unqueued.observe(latency, 300ms, now);
+    };
+    CHECK(unqueued.profile(latency, 300ms).slowAfter == 150ms);
+    observe(100ms, Start);
+    observe(600ms, Start + 20s);
+    CHECK(unqueued.profile(latency, 300ms).slowAfter == 200ms);
+    CHECK(unqueued.profile(latency, 300ms).slowShare == 0);
+    observe(600ms, Start + 31s);
+    observe(600ms, Start + 62s);
+    CHECK(unqueued.profile(latency, 300ms).slowAfter == 700ms);
 }
 
 TEST_CASE("chooseReplica: prefers the local data centre until the other is clearly faster (guards against unnecessary traffic between data centres)")
@@ -219,7 +286,7 @@
             chosen.onRefused(now, now + 1ms);
             ++refused;
         } else {
-            chosen.onResponse(now, now + 10ms, Typical);
+            chosen.onResponse(now, now + 10ms, Usual);
         }
     }
     CHECK(refused < Requests / 10);
--- a/routing/shard_load_test.cpp
+++ b/routing/shard_load_test.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "emulator/event_simulator.h"
 #include "routing/routing.h"
-#include "routing/routing_test_support.h"
 
 #include <array>
 #include <deque>
@@ -17,11 +17,12 @@
 using time_point = target_health::clock::time_point;
 const time_point Start{1h};
 
-constexpr int Senders = 6;
-constexpr std::size_t Slots = 2;
+constexpr unsigned Senders = 6;
+constexpr unsigned Slots = 2;
 constexpr std::size_t QueueLength = 12;
 constexpr std::chrono::microseconds ServiceTime{12000};
 constexpr std::chrono::milliseconds Objective{100};
+constexpr latency_profile Usual{ServiceTime, ServiceTime + Objective / 4, 0.01};
 constexpr std::chrono::milliseconds RequestDeadline{1500};
 constexpr std::chrono::milliseconds ArrivalInterval{9};
 constexpr std::chrono::seconds SlowUntil{4};
@@ -44,6 +45,9 @@
     {
         for (auto &sender : m_health) {
             sender.resize(2);
+            for (target_health &health : sender) {
+                health.setRoom({Slots, Senders});
+            }
         }
     }
 
@@ -96,7 +100,7 @@
             views[i].slots = Slots;
             views[i].isLocal = true;
             views[i].isTried = i == tried;
-            views[i].hasCapacity = !m_policy.limitsInFlight || m_health[sender][i].hasCapacity();
+            views[i].hasCapacity = !m_policy.limitsInFlight || m_health[sender][i].hasCapacity(m_simulator.now());
         }
         const replica_decision decision = chooseReplica(views, ServiceTime, m_simulator.now(), std::uniform_real_distribution<double>(0, 1)(m_random));
         if (!decision.chosen) {
@@ -140,7 +144,7 @@
     void finish(int index, const job &ended)
     {
         --m_replicas[index].busy;
-        m_health[ended.sender][index].onResponse(ended.sentAt, m_simulator.now(), ServiceTime);
+        m_health[ended.sender][index].onResponse(ended.sentAt, m_simulator.now(), Usual);
         if (!*ended.isDone) {
             *ended.isDone = true;
             const bool isCounted = ended.arrivedAt > Start + SlowUntil + 2s;
--- a/routing/target_health.cpp
+++ b/routing/target_health.cpp
@@ -17,10 +17,6 @@
 constexpr double StallFactor = 3;
 constexpr std::chrono::milliseconds StallMargin{12};
 constexpr std::chrono::milliseconds StallRemainingTime{60}; ///< Half of a typical pause.
-constexpr double SlowRatio = 3; ///< A response that took this many times the typical latency indicates a queue.
-constexpr double ShrinkFactor = 0.75;
-constexpr double ShrinkFactorRefused = 0.5;
-constexpr double GrowStep = 0.15;
 constexpr std::chrono::milliseconds InitialBackoff{100};
 constexpr std::chrono::milliseconds MaxBackoff{2000};
 constexpr std::chrono::milliseconds RefusedBackoff{15};
@@ -52,38 +48,38 @@
     }
 }
 
-void target_health::onResponse(clock::time_point sentAt, clock::time_point now, microseconds typical)
+void target_health::onResponse(clock::time_point sentAt, clock::time_point now, const latency_profile &usual)
 {
+    m_limit.onLatency(sentAt, now, usual, m_sent.size());
     removeInFlight(sentAt);
     m_failures = 0;
     m_availableAt = {};
     recordRefusal(false, now);
-    const double ratio = ratioOf(now - sentAt, typical);
     const double current = slownessAt(now);
-    m_slowness = current * (1 - SmoothingWeight) + std::min(ratio, maxNextSlowness(current)) * SmoothingWeight;
+    m_slowness = current * (1 - SmoothingWeight) + std::min(ratioOf(now - sentAt, usual.median), maxNextSlowness(current)) * SmoothingWeight;
     m_slownessAt = now;
-    if (ratio > SlowRatio) {
-        shrinkLimit(ShrinkFactor);
-    } else {
-        m_limit = std::min(m_limit + GrowStep, MaxInFlight);
-    }
 }
 
-void target_health::shrinkLimit(double factor)
+void target_health::setRoom(const target_room &room)
 {
-    m_limit = std::max(1.0, m_limit * factor);
+    m_limit.setRoom(room);
 }
 
-bool target_health::hasCapacity() const
+bool target_health::hasCapacity(clock::time_point now) const
 {
-    return static_cast<double>(m_sent.size()) + 1 <= m_limit;
+    return m_limit.permits(m_sent.size(), now);
+}
+
+double target_health::limit(clock::time_point now) const
+{
+    return m_limit.at(now);
 }
 
 void target_health::onRefused(clock::time_point sentAt, clock::time_point now)
 {
+    m_limit.onRefused(sentAt, now, m_sent.size());
     removeInFlight(sentAt);
     recordRefusal(true, now);
-    shrinkLimit(ShrinkFactorRefused);
     m_availableAt = std::max(m_availableAt, now + RefusedBackoff);
 }
 
@@ -93,18 +89,25 @@
     backOff(now);
 }
 
-void target_health::onAbandoned(clock::time_point sentAt, clock::time_point now, microseconds typical)
+void target_health::onAbandoned(clock::time_point sentAt, clock::time_point now, const latency_profile &usual)
 {
-    const bool overdue = now - sentAt > typical * 4 + StallMargin;
+    const auto elapsed = now - sentAt;
+    if (elapsed > usual.slowAfter) {
+        m_limit.onLatency(sentAt, now, usual, m_sent.size());
+    }
     removeInFlight(sentAt);
-    if (overdue) {
+    if (elapsed > usual.median * 4 + StallMargin) {
         const double current = slownessAt(now);
-        m_slowness = std::max(current, std::min(ratioOf(now - sentAt, typical), maxNextSlowness(current)));
+        m_slowness = std::max(current, std::min(ratioOf(elapsed, usual.median), maxNextSlowness(current)));
         m_slownessAt = now;
-        shrinkLimit(ShrinkFactor);
     }
 }
 
+void target_health::onDiscarded(clock::time_point sentAt)
+{
+    removeInFlight(sentAt);
+}
+
 void target_health::onUnreachable(clock::time_point now)
 {
     backOff(now);
--- a/routing/target_health.h
+++ b/routing/target_health.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "routing/in_flight_limit.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -15,11 +17,15 @@
     using clock = std::chrono::steady_clock;
     using microseconds = std::chrono::microseconds;
 
-    /// Records the send of a request. Each call is followed by exactly one call of onResponse, onRefused, onFailed or onAbandoned with the same sentAt.
+    /// Sets the room at the target, on which the limit of requests in flight rests.
+    void setRoom(const target_room &room);
+
+    /// Records the send of a request. Each call is followed by exactly one call of onResponse, onRefused, onFailed, onAbandoned or onDiscarded with the same
+    /// sentAt.
     void onSent(clock::time_point sentAt);
 
-    /// Records a response; typical: median latency of such requests over all targets.
-    void onResponse(clock::time_point sentAt, clock::time_point now, microseconds typical);
+    /// Records a response; usual: latency of such requests over all targets.
+    void onResponse(clock::time_point sentAt, clock::time_point now, const latency_profile &usual);
 
     /// Records that the target refused the request without running it: it is full or draining, or reset a new connection above its limit.
     void onRefused(clock::time_point sentAt, clock::time_point now);
@@ -29,7 +35,10 @@
 
     /// Records that the request ended without a sign of a failure, as when its response is no longer awaited. Affects the target's state only when the
     /// response was overdue.
-    void onAbandoned(clock::time_point sentAt, clock::time_point now, microseconds typical);
+    void onAbandoned(clock::time_point sentAt, clock::time_point now, const latency_profile &usual);
+
+    /// Records that the request ended in a way that tells nothing about the target.
+    void onDiscarded(clock::time_point sentAt);
 
     /// Records that no connection could be opened.
     void onUnreachable(clock::time_point now);
@@ -54,22 +63,21 @@
     /// Send time of the oldest request in flight; empty when there is none.
     std::optional<clock::time_point> oldestInFlight() const;
 
-    /// True when one more request may be in flight. The limit of requests in flight from this instance shrinks when responses get slow and grows slowly
-    /// when they are fast: some targets get slower the more requests they have queued, and would stay overloaded after the cause is gone.
-    bool hasCapacity() const;
+    /// True when one more request may be in flight. Some targets get slower the more requests they have queued, and would stay overloaded after the cause
+    /// is gone if their queues were kept full.
+    bool hasCapacity(clock::time_point now) const;
 
-private:
-    static constexpr double MaxInFlight = 8;
+    /// Limit of requests in flight from this instance.
+    double limit(clock::time_point now) const;
 
+private:
     void removeInFlight(clock::time_point sentAt);
     void backOff(clock::time_point now);
     void recordRefusal(bool wasRefused, clock::time_point now);
     double slownessAt(clock::time_point now) const;
 
-    void shrinkLimit(double factor);
-
     std::vector<clock::time_point> m_sent; ///< Send times of the requests in flight.
-    double m_limit = MaxInFlight; ///< Of requests in flight.
+    in_flight_limit m_limit;
     double m_slowness = 1; ///< Smoothed ratio of the target's latency to the typical latency.
     clock::time_point m_slownessAt{};
     double m_refusedShare = 0; ///< Smoothed, as of m_refusedShareAt.
