Let a starting instance learn the senders only, from the seeds that it asks

Cause, by reading and with a fleet of real peer tasks on loopback: for its first 2 s an instance sent a heartbeat with up to 64 addresses to every address that it had heard of, every 400 ms, each reply named 64 more, and a change of the serving state went to all known addresses. What one instance sends at its start grows with the fleet, what the fleet sends with its square: 14.6 kB a standby instance among 30, 244 kB among 110.

Change: a heartbeat names the senders only, and only to an instance that asks (a new field; others ignore it) or comes new to a settled sender. An instance in discovery (its first 2 s, or while it knows no other alive) asks the seeds every 400 ms and contacts what it gets. An instance names none in its first 0.3 s, when it takes the first that it heard of for the strongest. A sender introduces itself to the others when one is added. A standby instance announces a change to the senders only. Counters peer_datagrams_sent_total and peer_bytes_sent_total.

After: 2.9 kB a standby instance among 30 and among 110, each knows all senders within 3 s, each sender knows all.

Ruled out on the way (test figures): a few random addresses beside the senders' (the replies spread them to all), naming senders while in discovery oneself (16.9 kB among 110).

Tests: both cases in peer_task_test; the first fails on the old code with 244 kB, the second (standby instances that lose all senders find each other through a seed) is a guard.

--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -54,12 +54,13 @@
     std::uint32_t maxSenders = 0; ///< 0: unknown.
     std::uint32_t intervalMilliseconds = 0; ///< Until the next heartbeat.
     std::vector<std::string> targetDataCentres; ///< With usable targets; empty: unknown.
-    std::vector<std::string> knownAddresses; ///< Of other instances; empty in most heartbeats.
+    std::vector<std::string> knownAddresses; ///< Of the senders; empty in most heartbeats.
     std::vector<peer_crash> crashes; ///< Detected by the instance in the last seconds.
     bool isImpaired = false; ///< At least one route can't be served because of unreachable data centres.
     std::vector<peer_refusal> refusals; ///< Some of those that the instance knows, so that instances that started later learn of them too.
     std::string limitDemand; ///< demand_filter of the limited targets that the instance has requests for; empty: unchanged.
     std::vector<peer_limit> limits; ///< Some of the limits that others can't learn from the targets' responses.
+    bool asksForSenders = false; ///< The receiver is to reply with the addresses of the senders.
 
     MSGPACK_DEFINE_ARRAY(version,
                          instance,
@@ -77,7 +78,8 @@
                          isImpaired,
                          refusals,
                          limitDemand,
-                         limits)
+                         limits,
+                         asksForSenders)
 };
 
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -31,6 +31,8 @@
 /// grow with the fleet.
 constexpr std::uint64_t SendersPerReport = 4;
 constexpr std::chrono::milliseconds StartupPeriod{2000}; ///< An instance that has just started sends heartbeats to all known addresses.
+/// An instance that has just started names no senders: where all start together, it takes those that it heard of first for the strongest.
+constexpr std::chrono::milliseconds SettlingPeriod{300};
 constexpr std::chrono::milliseconds ListTimeout{2500};
 constexpr std::chrono::milliseconds InitialRetryDelay{200};
 constexpr std::chrono::milliseconds MaxRetryDelay{3000};
@@ -127,9 +129,9 @@
     const bool isNew = m_peers.onHeartbeat(status, now);
     for (const std::string &address : heartbeat.knownAddresses) {
         if (address != m_context.settings.address) {
-            // An instance that has just started sends a heartbeat to each new address at once, so that it soon discovers the senders.
+            // The senders are to know this instance at once.
             const bool isNewAddress = m_peers.addAddress(address, now);
-            if (isNewAddress && now - m_startedAt < StartupPeriod) {
+            if (isNewAddress && isDiscovering(now)) {
                 sendTo(address, false);
             }
         }
@@ -140,10 +142,13 @@
             event_class::StateChange,
             event_line("peers", "peer_alive").add("peer", status.instance).add("incarnation", status.incarnation).add("serving", status.isServing),
             now);
-        // A peer that has just started gets a heartbeat with the known addresses at once, not only with the next regular one.
-        sendTo(status.address, true);
-        sendDatagram(status.address, encodeReport());
         updateSenders(now);
+        // A peer that has just started gets a heartbeat at once, not only with the next regular one. An instance that is itself in discovery may take many
+        // for senders that are none, so it names them only to those that ask.
+        sendTo(status.address, heartbeat.asksForSenders || (isSender() && !isDiscovering(now)));
+        sendDatagram(status.address, encodeReport());
+    } else if (heartbeat.asksForSenders) {
+        sendTo(status.address, true);
     }
 }
 
@@ -182,15 +187,29 @@
     heartbeat.targetDataCentres = m_status.targetDataCentres;
     heartbeat.crashes = m_context.crashes.recentCrashes(boot_clock::now());
     if (withAddresses) {
-        heartbeat.knownAddresses = m_peers.addresses();
-        std::shuffle(heartbeat.knownAddresses.begin(), heartbeat.knownAddresses.end(), m_context.random);
-        heartbeat.knownAddresses.resize(std::min(heartbeat.knownAddresses.size(), MaxAddressesPerHeartbeat));
+        heartbeat.knownAddresses = introductions();
     }
     msgpack::sbuffer packed;
     msgpack::pack(packed, heartbeat);
     return {packed.data(), packed.size()};
 }
 
+std::vector<std::string> peer_task::introductions() const
+{
+    std::vector<std::string> senders;
+    if (clock::now() - m_startedAt < SettlingPeriod) {
+        return senders;
+    }
+    for (const peer_table::peer &peer : m_peers.alive(clock::now())) {
+        if (m_senders.count(peer.status.instance) > 0) {
+            senders.push_back(peer.status.address);
+        }
+    }
+    std::shuffle(senders.begin(), senders.end(), m_context.random);
+    senders.resize(std::min(senders.size(), MaxAddressesPerHeartbeat));
+    return senders;
+}
+
 void peer_task::sendTo(const std::string &address, bool withAddresses)
 {
     sendDatagram(address, encode(withAddresses));
@@ -203,6 +222,8 @@
     if (failed) {
         return;
     }
+    m_context.metrics.add("peer_datagrams_sent_total");
+    m_context.metrics.add("peer_bytes_sent_total", static_cast<std::int64_t>(datagram.size()));
     // A failed send is treated like a lost datagram: the next heartbeat follows soon.
     m_socket.send_to(asio::buffer(datagram), peer, 0, failed);
 }
@@ -212,11 +233,31 @@
     return isSender() ? HeartbeatInterval : StandbyInterval;
 }
 
+bool peer_task::isDiscovering(clock::time_point now) const
+{
+    return now - m_startedAt < StartupPeriod || m_peers.alive(now).empty();
+}
+
+void peer_task::askSeeds()
+{
+    peer_heartbeat question;
+    question.asksForSenders = true;
+    const std::string datagram = encode(std::move(question), false);
+    for (const std::string &seed : m_context.settings.seeds) {
+        if (seed != m_context.settings.address) {
+            sendDatagram(seed, datagram);
+        }
+    }
+}
+
 void peer_task::sendHeartbeats(clock::time_point now)
 {
-    const bool isStartingUp = now - m_startedAt < StartupPeriod;
+    const bool isInDiscovery = isDiscovering(now);
+    if (isInDiscovery) {
+        askSeeds();
+    }
     const bool isStandbyHeartbeatDue = now >= m_nextStandbyHeartbeatAt;
-    if (!isSender() && !isStartingUp && !isStandbyHeartbeatDue) {
+    if (!isSender() && !isInDiscovery && !isStandbyHeartbeatDue) {
         return;
     }
     m_nextStandbyHeartbeatAt = isStandbyHeartbeatDue ? now + StandbyInterval : m_nextStandbyHeartbeatAt;
@@ -234,14 +275,15 @@
     for (const peer_table::peer &peer : m_peers.recent(now)) {
         addressesWithoutHeartbeat.erase(peer.status.address);
         const bool isPeerSender = m_senders.count(peer.status.instance) > 0;
-        if (isPeerSender || (isSender() && m_includesStandby)) {
+        const bool isDue = isPeerSender ? isSender() || isStandbyHeartbeatDue : isSender() && m_includesStandby;
+        if (isDue) {
             sendDatagram(peer.status.address, isPeerSender ? toSenders : toStandby);
         }
     }
     // Addresses without a heartbeat are those of seeds that are still starting, or come from peers or from the store.
     for (const std::string &address : addressesWithoutHeartbeat) {
-        if (isSender() || isStartingUp) {
-            sendTo(address, isStartingUp);
+        if (isSender() || isInDiscovery) {
+            sendDatagram(address, plain);
         }
     }
 }
@@ -286,12 +328,26 @@
     if (chosen == m_senders) {
         return;
     }
+    std::set<std::string> added;
+    std::set_difference(chosen.begin(), chosen.end(), m_senders.begin(), m_senders.end(), std::inserter(added, added.end()));
     m_senders = std::move(chosen);
+    if (isSender() && !isDiscovering(now)) {
+        introduce(added, now);
+    }
     m_context.log.write(event_class::StateChange,
                         event_line("peers", "senders_changed").add("count", static_cast<std::uint64_t>(m_senders.size())).add("is_sender", isSender()),
                         now);
 }
 
+void peer_task::introduce(const std::set<std::string> &addedSenders, clock::time_point now)
+{
+    for (const peer_table::peer &peer : m_peers.alive(now)) {
+        if (addedSenders.count(peer.status.instance) > 0) {
+            sendTo(peer.status.address, true);
+        }
+    }
+}
+
 const std::set<std::string> &peer_task::senders() const
 {
     return m_senders;
@@ -457,8 +513,16 @@
         return;
     }
     const std::string datagram = encode(false);
-    for (const std::string &address : m_peers.addresses()) {
-        sendDatagram(address, datagram);
+    if (isSender()) {
+        for (const std::string &address : m_peers.addresses()) {
+            sendDatagram(address, datagram);
+        }
+        return;
+    }
+    for (const peer_table::peer &peer : m_peers.alive(clock::now())) {
+        if (m_senders.count(peer.status.instance) > 0) {
+            sendDatagram(peer.status.address, datagram);
+        }
     }
 }
 
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -33,8 +33,8 @@
 };
 
 /// Sends heartbeats to peers, tracks which peers are alive and selects the senders among the instances. Senders send heartbeats to all instances, standby
-/// instances only to senders and less often, so that traffic grows with senders times instances. Takes peers' addresses from the settings, from heartbeats and
-/// from the store. Not thread-safe.
+/// instances only to senders and less often, so that traffic grows with senders times instances. An instance that starts, or knows no other that is alive, asks
+/// the seeds for the senders' addresses; it needs no others. Takes peers' addresses from the settings, from heartbeats and from the store. Not thread-safe.
 class peer_task
 {
 public:
@@ -46,7 +46,7 @@
     /// Binds the peer port and starts to send heartbeats. Fails with Unreachable when the address is invalid or can't be bound. Precondition: called once.
     result<void> start();
 
-    /// Announces a change of isServing or isImpaired to all peers at once; other changes go out with the next heartbeat.
+    /// Announces a change of isServing or isImpaired at once, a standby instance to the senders, a sender to all; other changes go out with the next heartbeat.
     void setStatus(instance_status status);
 
     const peer_table &peers() const;
@@ -74,6 +74,10 @@
     void updateSenders(clock::time_point now);
     std::set<std::string> selectSenders(const std::vector<peer_table::peer> &peers) const;
     std::size_t maxSenders() const;
+    bool isDiscovering(clock::time_point now) const;
+    void askSeeds();
+    std::vector<std::string> introductions() const;
+    void introduce(const std::set<std::string> &addedSenders, clock::time_point now);
     void sendTo(const std::string &address, bool withAddresses);
     void sendDatagram(const std::string &address, const std::string &datagram);
     std::string encode(bool withAddresses) const;
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -70,12 +70,26 @@
         REQUIRE(store.listen({"127.0.0.1", 0}).has_value());
     }
 
-    std::unique_ptr<simulated_instance> make(int number, const std::vector<int> &seeds, peer_timings timings = {})
+    std::unique_ptr<simulated_instance> make(int number, const std::vector<int> &seeds, peer_timings timings = {}, double processorShare = 1)
     {
         environments.push_back(std::make_unique<instance_environment>(io, timers, store.address()));
+        environments.back()->settings.processorShare = processorShare;
         return std::make_unique<simulated_instance>(*environments.back(), number, seeds, timings);
     }
 
+    /// Starts a fleet whose first instances are strong, the others weak; the seeds are three weak ones.
+    std::vector<std::unique_ptr<simulated_instance>> makeFleet(int strong, int weak)
+    {
+        std::vector<std::unique_ptr<simulated_instance>> fleet;
+        for (int i = 0; i < strong + weak; ++i) {
+            const std::vector<int> seeds{FirstOfFleet + strong, FirstOfFleet + strong + 1, FirstOfFleet + strong + 2};
+            fleet.push_back(make(FirstOfFleet + i, seeds, {}, i < strong ? 1 : 0.25));
+        }
+        return fleet;
+    }
+
+    static constexpr int FirstOfFleet = 101;
+
     void registerMember(int number)
     {
         store.put("members", "i" + std::to_string(number), {{"address", simulated_instance::addressOf(number)}, {"data_centre", "dc1"}, {"incarnation", 1}});
@@ -122,6 +136,46 @@
     CHECK_MESSAGE(first->task->recentSenders() == 3, "a target may still count the connections of the lost instance");
 }
 
+TEST_CASE("peer_task: what a standby instance sends at the start of a fleet doesn't grow with it (88 MB of addresses crossed when 195 instances restarted)")
+{
+    constexpr int Strong = 6;
+    constexpr std::size_t Seeds = 3;
+    const auto bytesAtStart = [](int weak) {
+        peers_fixture fixture;
+        const auto fleet = fixture.makeFleet(Strong, weak);
+        const auto hasDiscovered = [](const auto &instance) { return instance->task->senders().size() == Strong; };
+        CHECK(fixture.runUntil([&] { return std::all_of(fleet.begin(), fleet.end(), hasDiscovered); }, 3s));
+        fixture.runUntil([] { return false; }, 2s);
+        for (std::size_t i = 0; i < Strong; ++i) {
+            CHECK(fleet[i]->peersAlive() == fleet.size() - 1);
+        }
+        std::int64_t most = 0;
+        for (std::size_t i = Strong + Seeds; i < fleet.size(); ++i) {
+            CHECK_FALSE(fleet[i]->task->isSender());
+            most = std::max(most, fixture.environments[i]->metrics.value("peer_bytes_sent_total"));
+        }
+        return most;
+    };
+    const auto small = bytesAtStart(24);
+    const auto large = bytesAtStart(104);
+    MESSAGE("bytes sent by a standby instance: ", small, " among 30, ", large, " among 110");
+    CHECK(large < small * 3 / 2);
+}
+
+TEST_CASE("peer_task: standby instances that lose all senders find each other through a seed (guards against a fleet in which each instance is alone)")
+{
+    constexpr int Strong = 6;
+    peers_fixture fixture;
+    auto fleet = fixture.makeFleet(Strong, 8);
+    const auto knows = [&](std::size_t senders) {
+        return std::all_of(fleet.begin(), fleet.end(), [&](const auto &instance) { return instance->task->senders().size() == senders; });
+    };
+    CHECK(fixture.runUntil([&] { return knows(Strong); }, 3s));
+    fixture.runUntil([] { return false; }, 3s);
+    fleet.erase(fleet.begin(), fleet.begin() + Strong);
+    CHECK(fixture.runUntil([&] { return knows(8); }, 4s));
+}
+
 TEST_CASE("peer_task: a restarted sender completes discovery at once and counts the registered senders (0.4 s of service were lost after a power loss)")
 {
     peers_fixture fixture;
