--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -24,15 +24,16 @@
 constexpr std::size_t MaxAddressesPerHeartbeat = 64;
 constexpr std::chrono::milliseconds IsolatedMemberListInterval{2000}; ///< While no peer is alive.
 constexpr std::chrono::milliseconds RegistrationDelay{1500}; ///< By then most instances have discovered each other through the seeds.
-constexpr std::chrono::milliseconds DiscoveryTimeout{1200};
+constexpr std::chrono::milliseconds DiscoveryTimeout{1500};
 constexpr std::chrono::milliseconds MinDiscoveryPeriod{150};
 constexpr std::chrono::milliseconds QuietPeriod{100}; ///< Time without a new peer after which discovery counts as complete.
 /// Limits, refusals and demand go out with one heartbeat in as many as there are times this many senders, so that what an instance receives of them doesn't
 /// grow with the fleet.
 constexpr std::uint64_t SendersPerReport = 4;
 constexpr std::chrono::milliseconds StartupPeriod{2000}; ///< An instance that has just started sends heartbeats to all known addresses.
-/// An instance that has just started names no senders: where all start together, it takes those that it heard of first for the strongest.
-constexpr std::chrono::milliseconds SettlingPeriod{300};
+/// An instance that has just started names no senders: where all start together, it takes those that it heard of first for the strongest. By then each
+/// instance has asked at least twice.
+constexpr std::chrono::milliseconds SettlingPeriod{700};
 constexpr std::chrono::milliseconds ListTimeout{2500};
 constexpr std::chrono::milliseconds InitialRetryDelay{200};
 constexpr std::chrono::milliseconds MaxRetryDelay{3000};
@@ -127,11 +128,13 @@
     m_context.crashes.merge(heartbeat.refusals, boot_clock::now());
     m_context.limits.merge(heartbeat.limits, now);
     const bool isNew = m_peers.onHeartbeat(status, now);
+    m_wasIntroduced = m_wasIntroduced || !heartbeat.knownAddresses.empty();
     for (const std::string &address : heartbeat.knownAddresses) {
         if (address != m_context.settings.address) {
             // The senders are to know this instance at once.
             const bool isNewAddress = m_peers.addAddress(address, now);
             if (isNewAddress && isDiscovering(now)) {
+                m_lastNewPeerAt = now;
                 sendTo(address, false);
             }
         }
@@ -374,7 +377,7 @@
     const auto now = clock::now();
     const auto elapsed = now - m_startedAt;
     const bool isQuiet = m_lastNewPeerAt != clock::time_point{} && now - m_lastNewPeerAt > QuietPeriod;
-    return elapsed > DiscoveryTimeout || (elapsed > MinDiscoveryPeriod && isQuiet);
+    return elapsed > DiscoveryTimeout || (elapsed > MinDiscoveryPeriod && m_wasIntroduced && isQuiet);
 }
 
 void peer_task::maintainRegistration(clock::time_point now)
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -60,8 +60,8 @@
     /// Shortly after the start, at least the number of registered instances, up to the maximum of senders.
     unsigned recentSenders() const;
 
-    /// True once the running instances are probably known: when peers have sent heartbeats and no new peer has followed for a short time, or after a
-    /// timeout. True at once when the store holds a registration by an earlier process of this instance.
+    /// True once the senders are probably known: when a peer has named them and no new peer has followed for a short time, or after a timeout. True at once
+    /// when the store holds a registration by an earlier process of this instance.
     bool isDiscoveryComplete() const;
 
 private:
@@ -105,12 +105,13 @@
     std::uint64_t m_tick = 0;
     bool m_includesStandby = false; ///< Alternates: a sender sends every second heartbeat to standby instances too.
     clock::time_point m_startedAt{};
-    clock::time_point m_lastNewPeerAt{};
+    clock::time_point m_lastNewPeerAt{}; ///< When a peer, or in discovery an address, was last added.
     clock::time_point m_nextStandbyHeartbeatAt{}; ///< When a standby instance sends its next heartbeat.
     clock::time_point m_memberListReadAt{};
     peer_timings m_timings;
     timer_queue::handle m_ticker = 0;
     std::size_t m_registeredCount = 0; ///< Instances in the store, including this one.
+    bool m_wasIntroduced = false; ///< A peer has named senders to this instance.
     bool m_wasRegisteredAtStart = false; ///< The store holds an entry that an earlier process of this instance wrote.
     std::shared_ptr<bool> m_isTaskAlive = std::make_shared<bool>(true); ///< False after destruction; coroutines and handlers that outlive the task check it.
     bool m_isRegistering = false;
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -144,7 +144,15 @@
         peers_fixture fixture;
         const auto fleet = fixture.makeFleet(Strong, weak);
         const auto hasDiscovered = [](const auto &instance) { return instance->task->senders().size() == Strong; };
-        CHECK(fixture.runUntil([&] { return std::all_of(fleet.begin(), fleet.end(), hasDiscovered); }, 3s));
+        bool hasFalseSender = false;
+        const auto isSettled = [&] {
+            for (std::size_t i = Strong; i < fleet.size(); ++i) {
+                hasFalseSender = hasFalseSender || (fleet[i]->task->isSender() && fleet[i]->task->isDiscoveryComplete());
+            }
+            return std::all_of(fleet.begin(), fleet.end(), hasDiscovered);
+        };
+        CHECK(fixture.runUntil(isSettled, 3s));
+        CHECK_FALSE_MESSAGE(hasFalseSender, "an instance that takes itself for a sender reads the whole catalogue");
         fixture.runUntil([] { return false; }, 2s);
         for (std::size_t i = 0; i < Strong; ++i) {
             CHECK(fleet[i]->peersAlive() == fleet.size() - 1);
--- a/routing/target_health.cpp
+++ b/routing/target_health.cpp
@@ -70,11 +70,6 @@
     return m_limit.permits(m_sent.size(), now);
 }
 
-double target_health::limit(clock::time_point now) const
-{
-    return m_limit.at(now);
-}
-
 void target_health::onRefused(clock::time_point sentAt, clock::time_point now)
 {
     m_limit.onRefused(sentAt, now, m_sent.size());
--- a/routing/target_health.h
+++ b/routing/target_health.h
@@ -67,9 +67,6 @@
     /// is gone if their queues were kept full.
     bool hasCapacity(clock::time_point now) const;
 
-    /// Limit of requests in flight from this instance.
-    double limit(clock::time_point now) const;
-
 private:
     void removeInFlight(clock::time_point sentAt);
     void backOff(clock::time_point now);
