Comment of the start-up period says what it is now

A starting instance no longer sends heartbeats to all known addresses. Only the comment changes; the formatter's check passed, nothing else was run again.

--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -30,7 +30,7 @@
 /// Limits, refusals and demand go out with one heartbeat in as many as there are times this many senders, so that what an instance receives of them doesn't
 /// grow with the fleet.
 constexpr std::uint64_t SendersPerReport = 4;
-constexpr std::chrono::milliseconds StartupPeriod{2000}; ///< An instance that has just started sends heartbeats to all known addresses.
+constexpr std::chrono::milliseconds StartupPeriod{2000}; ///< An instance that has just started is in discovery.
 /// An instance that has just started names no senders: where all start together, it takes those that it heard of first for the strongest. By then each
 /// instance has asked at least twice.
 constexpr std::chrono::milliseconds SettlingPeriod{700};
