Encode names in the paths and queries of calls to the store

After a restart of all instances almost no request was served while the entry stood.

Cause: http_client put the values of a query into the request as they are. Where such a name was the last of a page, "after" arrived as another name, as two parameters, or the request line was malformed. The list of targets then never ended, started over without end, or was refused, and an instance is ready only with a whole list. Instances that had read their list before went on, so only restarts showed it. The names of the kind "members" had the same fault, in lists and in the paths of removals.

Found on the way, the same class: a page on which no name could be read ended the list although more followed, so all later targets were dropped; a name of bytes that are no UTF-8 at the end of a page was passed over.

Ruled out: the entry's spec (it is skipped, as the tests for unreadable entries show); names inside a page (they are in no request).

Change: percentEncode() for names and values of queries and for names in paths; the server's decoder is its counterpart and moves beside it. The stand-in store decodes names in paths and queries, as the platform's does.

--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -32,7 +32,7 @@
     std::string target = request.path;
     char separator = '?';
     for (const auto &[name, value] : request.query) {
-        target += separator + name + "=" + value;
+        target += separator + percentEncode(name) + "=" + percentEncode(value);
         separator = '&';
     }
     message.target(target);
--- a/http/http_message.cpp
+++ b/http/http_message.cpp
@@ -1,5 +1,6 @@
 #include "http/http_message.h"
 
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace balsamhook
@@ -15,6 +16,21 @@
     return found == values.end() ? std::string_view() : std::string_view(found->second);
 }
 
+int hexDigit(char c)
+{
+    if (c >= '0' && c <= '9') {
+        return c - '0';
+    }
+    const char lower = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+bool needsNoEncoding(char c)
+{
+    constexpr std::string_view Unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    return Unreserved.find(c) != std::string_view::npos;
+}
+
 } // namespace
 
 std::string_view http_request::header(std::string_view name) const
@@ -59,6 +75,39 @@
     return response;
 }
 
+std::string percentEncode(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    std::string encoded;
+    encoded.reserve(text.size());
+    for (const char c : text) {
+        if (needsNoEncoding(c)) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += Digits[byte / 16];
+        encoded += Digits[byte % 16];
+    }
+    return encoded;
+}
+
+std::string percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
+        if (isEscape) {
+            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
+            i += 2;
+            continue;
+        }
+        decoded += text[i] == '+' ? ' ' : text[i];
+    }
+    return decoded;
+}
+
 std::vector<std::string> splitPath(std::string_view path)
 {
     std::vector<std::string> segments;
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -15,8 +15,8 @@
 struct http_request
 {
     std::string method = "GET";
-    std::string path; ///< Without the query string.
-    std::map<std::string, std::string, std::less<>> query; ///< Percent-decoded parameters.
+    std::string path; ///< Without the query string. A client encodes names in it with percentEncode().
+    std::map<std::string, std::string, std::less<>> query; ///< Parameters, not percent-encoded.
     http_headers headers;
     std::string body;
     std::string peer; ///< "IP:port" of the client; set by the server.
@@ -48,6 +48,12 @@
 /// Returns a text/plain response.
 http_response textResponse(unsigned status, std::string body);
 
+/// Encodes a text for use as one segment of a path, or as a name or value in a query: every byte but letters, digits and "-._~" becomes %XX.
+std::string percentEncode(std::string_view text);
+
+/// Reverses percentEncode(). A "+" becomes a blank, as in queries; "%" without two hexadecimal digits stays as it is.
+std::string percentDecode(std::string_view text);
+
 /// Splits a path into its non-empty segments.
 std::vector<std::string> splitPath(std::string_view path);
 
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -35,30 +35,6 @@
     return lower;
 }
 
-int hexDigit(char c)
-{
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    const char lower = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-std::string percentDecode(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
-        if (isEscape) {
-            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-            i += 2;
-            continue;
-        }
-        decoded += text[i] == '+' ? ' ' : text[i];
-    }
-    return decoded;
-}
-
 void splitTarget(std::string_view target, http_request &request)
 {
     const std::size_t questionMark = target.find('?');
--- a/http/http_test.cpp
+++ b/http/http_test.cpp
@@ -95,6 +95,20 @@
     }());
 }
 
+TEST_CASE("percentEncode: every byte survives in a path and in a query (guards against names that end a query or a path)")
+{
+    std::string all;
+    for (int byte = 0; byte < 256; ++byte) {
+        all += static_cast<char>(byte);
+    }
+    const std::string encoded = percentEncode(all);
+    CHECK(encoded.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~%") == std::string::npos);
+    CHECK(percentDecode(encoded) == all);
+    CHECK(percentEncode("azAZ09-._~") == "azAZ09-._~");
+    CHECK(percentEncode(" %") == "%20%25");
+    CHECK(percentDecode("a+b%2") == "a b%2");
+}
+
 TEST_CASE("http_server: rejects bad requests without effect on others")
 {
     echo_fixture fixture;
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -231,13 +231,13 @@
         }
         firstRevision = firstRevision == 0 ? page.value().revision : firstRevision;
         for (const store_object &object : page.value().objects) {
-            after = object.name;
             listed.insert(object.name);
             apply(kind.kind, object, false);
         }
-        if (!page.value().hasMore || page.value().objects.empty()) {
+        if (!page.value().hasMore) {
             break;
         }
+        after = page.value().lastName;
     }
     retain(kind.kind, listed);
     kind.progress.onListed(firstRevision);
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -155,6 +155,29 @@
     CHECK(fixture.targets.count("good") == 1);
 }
 
+TEST_CASE("catalogue_sync: an odd name at the end of a page doesn't stop the list (one with & or a blank kept all restarted instances from serving)")
+{
+    const std::vector<std::string> oddNames{
+        "b&", "&b", "b+c", "b#", "b%", "b%41", "b%zz", "b c", "b/c", "b?c", "b=c", "b;c", "b\"c", "b\\c", "b\x01", "b\r\nX: 1", "b\x7f", "b\u00e9", ".."};
+    for (const std::string &oddName : oddNames) {
+        CAPTURE(oddName);
+        sync_fixture fixture;
+        fixture.standin.put("config", "main", configurationSpec(1));
+        // The first page ends with the odd name, wherever that sorts.
+        const std::string prefix = oddName < "a" ? "!" : "a";
+        for (std::size_t i = 0; i + 1 < metadata_service::PageSize; ++i) {
+            fixture.standin.put("servers", prefix + std::to_string(i), targetSpec("s0"));
+        }
+        fixture.standin.put("servers", oddName, "text");
+        for (int i = 0; i < 60; ++i) {
+            fixture.standin.put("servers", "c" + std::to_string(i), targetSpec("s0"));
+        }
+        fixture.start();
+        CHECK(fixture.runUntil([&] { return fixture.sync->isReady(); }, 2s));
+        CHECK(fixture.targets.size() == metadata_service::PageSize - 1 + 60);
+    }
+}
+
 TEST_CASE("catalogue_sync: lists again when the store has discarded the history (guards against missing the changes in between)")
 {
     sync_fixture fixture;
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -444,10 +444,10 @@
 {
     const auto isTaskAlive = m_isTaskAlive;
     std::vector<store_object> registered;
+    std::string after;
     bool hasMore = true;
     while (hasMore) {
         // A stale read suffices: the peer table removes an address from which no heartbeat arrives.
-        const std::string after = registered.empty() ? std::string() : registered.back().name;
         auto page = co_await m_store.list(MemberKind, after, read_mode::Stale, ListTimeout);
         if (!*isTaskAlive) {
             co_return;
@@ -456,7 +456,8 @@
             m_context.log.write(event_class::StateChange, event_line("peers", "member_list_failed").add("reason", describe(page.error())), clock::now());
             co_return;
         }
-        hasMore = page.value().hasMore && !page.value().objects.empty();
+        hasMore = page.value().hasMore;
+        after = page.value().lastName;
         std::move(page.value().objects.begin(), page.value().objects.end(), std::back_inserter(registered));
     }
     co_await processMembers(std::move(registered));
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -229,6 +229,23 @@
     CHECK(fixture.runUntil([&] { return names().count("i42") == 1; }, 3s));
 }
 
+TEST_CASE("peer_task: an odd name at the end of a page of members hides no other, and its entry is removed (an instance stayed isolated)")
+{
+    for (const std::string oddName : {"h&", "h #", "h%41", "h/i", "h?i"}) {
+        CAPTURE(oddName);
+        peers_fixture fixture;
+        fixture.registerMember(43);
+        for (std::size_t i = 0; i + 1 < metadata_service::PageSize; ++i) {
+            fixture.store.put("members", "a" + std::to_string(i), "text");
+        }
+        fixture.store.put("members", oddName, "text");
+        auto first = fixture.make(41, {}, {200ms, 1000ms});
+        auto other = fixture.make(43, {}, {200ms, 1000ms});
+        CHECK(fixture.runUntil([&] { return first->peersAlive() == 1; }, 3s));
+        CHECK(fixture.runUntil([&] { return !fixture.store.holds("members", oddName); }, 5s));
+    }
+}
+
 TEST_CASE("peer_task: unreadable entries are skipped, and the instance's own one is rewritten (guards against malformed entries of other writers)")
 {
     peers_fixture fixture;
--- a/standins/metadata_service.cpp
+++ b/standins/metadata_service.cpp
@@ -31,14 +31,14 @@
     }
     object_uri parsed;
     parsed.kind = path[2];
-    parsed.name = path.size() > 3 ? path[3] : "";
+    parsed.name = path.size() > 3 ? percentDecode(path[3]) : "";
     std::string remainingQuery = queryStart == std::string::npos ? "" : uri.substr(queryStart + 1);
     while (!remainingQuery.empty()) {
         const std::string pair = remainingQuery.substr(0, remainingQuery.find('&'));
         remainingQuery.erase(0, std::min(remainingQuery.size(), pair.size() + 1));
         const std::size_t equals = pair.find('=');
         if (equals != std::string::npos) {
-            parsed.query[pair.substr(0, equals)] = pair.substr(equals + 1);
+            parsed.query[percentDecode(pair.substr(0, equals))] = percentDecode(pair.substr(equals + 1));
         }
     }
     return parsed;
