End an exchange at a status that HTTP doesn't have

Here: 000 to 099 and 101 counted as interim responses. Their body was consumed and the instance waited for the rest until the request's deadline, so the caller got 504 late; whatever the target wrote next counted as the response. 600 to 999 were passed on to the caller as answers. The client for the store and for other instances took 000, 099 and each interim response for the final one, and the store's 000 and 1xx for success.

Cause: the parser accepts any three digits, and the product only compared with 200.

Evidence, on the code before: exchange_machine_test "a status line that HTTP doesn't have ...": 000, 001, 099 and 101 don't end the exchange, 600 and 999 complete it; connection_test "http_connection: a status that HTTP doesn't have ...": 000, 099, 101, 600 and 999 are responses, 103 hides the 200 behind it. Handled before, kept in the test: two and four digits, signs, letters, blanks and control bytes in place of the status.

Change: the parser of responses ends at a status outside 100 to 599 and at 101, as no request asks for another protocol; the request counts as lost at once (502, or another target if it may be repeated). http_connection checks the same and skips up to 16 interim responses.

After: both tests pass; http, platform and node tests pass.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -2,6 +2,8 @@
 
 #include "http/http.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -434,3 +436,44 @@
     CHECK(fixture.requests == 1);
     CHECK(fixture.disconnects == 1);
 }
+
+namespace
+{
+
+/// Sends one request with http_connection to a peer that writes the text; returns the status of the response.
+std::optional<unsigned> statusFetched(const std::string &text)
+{
+    scripted_peer peer([&](tcp::socket &socket) {
+        readRequest(socket);
+        writePieces(socket, {text});
+    });
+    asio::io_context context;
+    std::optional<unsigned> status;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto response = co_await fetch(peer.address(), {}, http_request(), TestTimeout);
+            status = response ? std::optional(response.value().status) : std::nullopt;
+        },
+        asio::detached);
+    context.run_for(TestTimeout);
+    return status;
+}
+
+} // namespace
+
+TEST_CASE("http_connection: a status that HTTP doesn't have is no response, an interim one isn't the last (the store's 000 counted as success)")
+{
+    const std::string rest = " X\r\nContent-Length: 2\r\n\r\n{}";
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        CAPTURE(status);
+        CHECK_FALSE(statusFetched("HTTP/1.1 " + status + rest).has_value());
+    }
+    CHECK(statusFetched("HTTP/1.1 503" + rest) == 503);
+    CHECK(statusFetched("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200" + rest) == 200);
+    std::string interim;
+    for (int i = 0; i < 1000; ++i) {
+        interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+    }
+    CHECK_FALSE(statusFetched(interim + "HTTP/1.1 200" + rest).has_value());
+}
--- a/http/exchange_machine.cpp
+++ b/http/exchange_machine.cpp
@@ -12,7 +12,6 @@
 
 /// Interim responses and responses to other requests that one exchange may discard.
 constexpr unsigned MaxDiscardedResponses = 16;
-constexpr unsigned FirstFinalStatus = 200;
 
 } // namespace
 
@@ -74,7 +73,7 @@
 std::optional<exchange_result> exchange_machine::onMessage(in_flight &exchange, bool hasFurtherBytes)
 {
     http_message response = m_reader.take();
-    const bool isInterim = response.status < FirstFinalStatus;
+    const bool isInterim = isInterimStatus(response.status);
     if (isInterim || !isResponseTo(exchange, response)) {
         return discard(exchange, isInterim) ? std::nullopt : std::optional(fail());
     }
--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -193,3 +193,58 @@
     REQUIRE(result);
     CHECK(result->outcome == exchange_outcome::Lost);
 }
+
+namespace
+{
+
+/// Result of a first request whose target writes the text and then closes the connection; whether the text alone ended the exchange is in isEndedByBytes.
+struct answered_request
+{
+    explicit answered_request(const std::string &text)
+    {
+        exchange_machine machine = makeMachine();
+        machine.begin("r1", true);
+        machine.onRequestWritten();
+        result = machine.onBytes(text);
+        isEndedByBytes = result.has_value();
+        isReusable = machine.isReusable();
+        if (!result) {
+            result = machine.onEnd(connection_end::ClosedByTarget, true);
+        }
+    }
+
+    bool isLost() const
+    {
+        return result && result->outcome == exchange_outcome::Lost;
+    }
+
+    std::optional<exchange_result> result;
+    bool isEndedByBytes = false;
+    bool isReusable = false;
+};
+
+std::string withStatus(const std::string &status)
+{
+    return "HTTP/1.1 " + status + " X\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nab";
+}
+
+} // namespace
+
+TEST_CASE("exchange_machine: a status line that HTTP doesn't have ends the exchange at once (a caller got status 000 as an answer)")
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999", "20", "2000", "2x0", "-20", "+20", " 200", "200\t", "\x01"}) {
+        CAPTURE(status);
+        const answered_request answered(withStatus(status));
+        CHECK(answered.isLost());
+        CHECK(answered.isEndedByBytes);
+        // What follows it belongs to no request either.
+        CHECK(answered_request(withStatus(status) + responseTo(1)).isLost());
+    }
+    for (const std::string status : {"200", "404", "503", "599"}) {
+        CAPTURE(status);
+        const answered_request answered(withStatus(status));
+        REQUIRE(answered.result);
+        CHECK(answered.result->outcome == exchange_outcome::Completed);
+        CHECK(std::to_string(answered.result->response.status) == status);
+    }
+}
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include "http/message_reader.h"
 #include "http/socket_options.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -22,8 +23,10 @@
 
 constexpr std::uint64_t ResponseBodyLimitBytes = 16 * 1024 * 1024;
 constexpr unsigned HttpVersion = 11;
+constexpr unsigned MaxInterimResponses = 16;
 
 using beast_request = beast::http::request<beast::http::string_body>;
+using response_parser = beast::http::response_parser<beast::http::string_body>;
 
 beast_request toBeast(http_request &&request, const std::string &host)
 {
@@ -146,18 +149,29 @@
         close();
         co_return exchangeError(failed, error_step::Send, m_state->peer);
     }
-    beast::http::response_parser<beast::http::string_body> incoming;
-    incoming.body_limit(ResponseBodyLimitBytes);
-    co_await beast::http::async_read(m_state->stream, m_state->buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
-    if (failed) {
-        close();
-        co_return exchangeError(failed, error_step::Receive, m_state->peer);
-    }
-    m_state->stream.expires_never();
-    if (!incoming.get().keep_alive()) {
-        close();
+    for (unsigned interim = 0; interim <= MaxInterimResponses; ++interim) {
+        response_parser incoming;
+        incoming.body_limit(ResponseBodyLimitBytes);
+        co_await beast::http::async_read(m_state->stream, m_state->buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
+        const unsigned status = incoming.get().result_int();
+        if (!failed && !isValidStatus(status)) {
+            failed = beast::http::error::bad_status;
+        }
+        if (failed) {
+            close();
+            co_return exchangeError(failed, error_step::Receive, m_state->peer);
+        }
+        if (isInterimStatus(status)) {
+            continue;
+        }
+        m_state->stream.expires_never();
+        if (!incoming.get().keep_alive()) {
+            close();
+        }
+        co_return fromBeast(incoming.release());
     }
-    co_return fromBeast(incoming.release());
+    close();
+    co_return failure(error_code::Closed, error_step::Receive, m_state->peer, "too many interim responses");
 }
 
 bool http_connection::hasSentBytes() const
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -24,6 +24,20 @@
     return std::any_of(HopByHopNames.begin(), HopByHopNames.end(), [name](std::string_view hopByHopName) { return isSameName(hopByHopName, name); });
 }
 
+bool isValidStatus(unsigned status)
+{
+    constexpr unsigned First = 100;
+    constexpr unsigned Last = 599;
+    constexpr unsigned SwitchingProtocols = 101;
+    return status >= First && status <= Last && status != SwitchingProtocols;
+}
+
+bool isInterimStatus(unsigned status)
+{
+    constexpr unsigned FirstFinal = 200;
+    return status < FirstFinal;
+}
+
 const std::string *http_message::find(std::string_view name) const
 {
     const auto found = std::find_if(fields.begin(), fields.end(), [name](const header_field &field) { return isSameName(field.name, name); });
@@ -117,9 +131,12 @@
         message.target.assign(target.data(), target.size());
     }
 
-    void on_response_impl(int code, string_view, int, error_code &) override
+    void on_response_impl(int code, string_view, int, error_code &failed) override
     {
         message.status = static_cast<unsigned>(code);
+        if (!isValidStatus(message.status)) {
+            failed = beast::http::error::bad_status;
+        }
     }
 
     void on_field_impl(beast::http::field, string_view name, string_view value, error_code &) override
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -37,6 +37,12 @@
 /// True for hop-by-hop headers, which apply to a single connection and must not be forwarded.
 bool isHopByHop(std::string_view name);
 
+/// True for the status of a response to a request that asks for no other protocol: 100 to 599, but not 101.
+bool isValidStatus(unsigned status);
+
+/// True for the status of a response that a final one follows.
+bool isInterimStatus(unsigned status);
+
 enum class message_kind : std::uint8_t {
     Request,
     Response,
