Take no body in a transfer coding other than chunked

What callers could see: a target's answer with "Transfer-Encoding: gzip", "chunked, gzip" or an unknown coding was passed on as a success. The field concerns one connection and is dropped, so the caller got the coded bytes as if they were the target's body; with "chunked, gzip" also the lines of the chunks. The same held for requests: the target got other bytes than the caller had sent.

Cause: the parser looks only at whether the last coding is "chunked", and reads the body by length or to the end otherwise.

Evidence, on the code before: exchange_machine_test "a body in a transfer coding other than chunked is lost": 10 of 10 codings complete the exchange.

Change: the parser ends at a header whose Transfer-Encoding is anything but one "chunked". A response then counts as lost, a request gets 400.

After: the test and the new row for requests pass.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -405,6 +405,7 @@
         {"nonsense\r\n\r\n", " 400 "},
         {"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", " 400 "},
         {"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef", " 400 "},
+        {"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", " 400 "},
         {"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", " 413 "},
         {"GET /a/ HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n", " 431 "},
     };
--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http.h"
 
+#include <cctype>
 #include <rapidcheck.h>
 #include <utility>
 
@@ -248,3 +249,24 @@
         CHECK(std::to_string(answered.result->response.status) == status);
     }
 }
+
+TEST_CASE("exchange_machine: a body in a transfer coding other than chunked is lost (a caller got bytes that were not the target's body)")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+    for (const std::string coding :
+         {"gzip, chunked", "gzip", "chunked, gzip", "xchunked", "chunked;q=1", "identity", "chunked, chunked", "chunked,", "", "chunked\r\n ,gzip"}) {
+        CAPTURE(coding);
+        CHECK(answered_request(head + "Transfer-Encoding: " + coding + "\r\n" + chunks).isLost());
+        CHECK(answered_request(head + "Content-Length: 2\r\nTransfer-Encoding: " + coding + "\r\n\r\nab").isLost());
+    }
+    CHECK(answered_request(head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n" + chunks).isLost());
+    CHECK(answered_request(head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks).isLost());
+    for (const std::string coding : {"chunked", "Chunked", " chunked ", "\r\n chunked"}) {
+        CAPTURE(coding);
+        const answered_request answered(head + "Transfer-Encoding: " + coding + "\r\n" + chunks);
+        REQUIRE_FALSE(answered.isLost());
+        CHECK(answered.result->response.body == "ab");
+        CHECK(answered.isReusable);
+    }
+}
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -44,6 +44,26 @@
     return found == fields.end() ? nullptr : &found->value;
 }
 
+namespace
+{
+
+/// True unless the header names a transfer coding other than chunked, or names one twice.
+bool isChunkedOnly(const http_message &message)
+{
+    std::size_t codings = 0;
+    for (const header_field &field : message.fields) {
+        if (!isSameName(field.name, "Transfer-Encoding")) {
+            continue;
+        }
+        if (!isSameName(field.value, "chunked") || ++codings > 1) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
 /// Interface of the request parser and the response parser.
 class message_reader::parser_base
 {
@@ -144,8 +164,12 @@
         message.fields.push_back({std::string(name), std::string(value)});
     }
 
-    void on_header_impl(error_code &) override
+    void on_header_impl(error_code &failed) override
     {
+        // No other coding than chunked was asked for, and none can be passed on, as the field concerns this connection only.
+        if (!isChunkedOnly(message)) {
+            failed = beast::http::error::bad_transfer_encoding;
+        }
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
