Keep fields of a trailer out of the header

What callers could see: a target's answer without a signature or id in its header, but with one in the trailer of its chunks, was passed on as a success; a trailer with Not-Executed made an answer count as not run, so a request that must not be repeated was sent again. Trailers of requests became fields of the header that targets got.

Cause: the parser reports the fields of a trailer like those of the header.

Evidence, on the code before: exchange_machine_test "fields of a trailer are no fields of the header": Server-Stamp and Not-Executed of the trailer are found, 5 fields instead of 2. Handled before, kept in the test: a malformed trailer ends the exchange.

Change: fields after the header are read and dropped, as a recipient may do with trailers that it doesn't know.

After: the test passes.

--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -270,3 +270,19 @@
         CHECK(answered.isReusable);
     }
 }
+
+TEST_CASE("exchange_machine: fields of a trailer are no fields of the header (a signature or id in a trailer counted)")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n";
+    const answered_request answered(head + "Request-Id: r1\r\n" + chunks + "Server-Stamp: forged\r\nNot-Executed: 1\r\nX: 1\r\n\r\n");
+    REQUIRE_FALSE(answered.isLost());
+    CHECK(answered.result->response.body == "ab");
+    CHECK(answered.result->response.find("Server-Stamp") == nullptr);
+    CHECK(answered.result->response.find("Not-Executed") == nullptr);
+    CHECK(answered.result->response.fields.size() == 2);
+    for (const std::string trailer : {"X Y: 1", "X\x01: 1", "X : 1", "X", ": 1", "X: a\x01"}) {
+        CAPTURE(trailer);
+        CHECK(answered_request(head + "Request-Id: r1\r\n" + chunks + trailer + "\r\n\r\n").isLost());
+    }
+}
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -161,7 +161,10 @@
 
     void on_field_impl(beast::http::field, string_view name, string_view value, error_code &) override
     {
-        message.fields.push_back({std::string(name), std::string(value)});
+        // Fields of a trailer come after those of the header and aren't kept: whoever reads the message takes them for the header's.
+        if (!base::is_header_done()) {
+            message.fields.push_back({std::string(name), std::string(value)});
+        }
     }
 
     void on_header_impl(error_code &failed) override
