Refuse a response that names another request beside its own

What callers could see: an answer with two Request-Id fields, the first of which was the request's, was passed on with both, so a caller that reads the other one gets the answer to another request.

Cause: only the first field of the name was compared.

Evidence, on the code before: exchange_machine_test "a response that names another request beside this one ..." completes the exchange.

Change: each Request-Id of a response has to be the request's.

After: the test passes.

--- a/http/exchange_machine.cpp
+++ b/http/exchange_machine.cpp
@@ -88,8 +88,17 @@
 
 bool exchange_machine::isResponseTo(const in_flight &exchange, const http_message &response) const
 {
-    const std::string *id = response.find("Request-Id");
-    return id == nullptr ? m_requests == 1 && !exchange.wasPolluted : *id == exchange.requestId;
+    bool hasId = false;
+    for (const header_field &field : response.fields) {
+        if (!isSameName(field.name, "Request-Id")) {
+            continue;
+        }
+        if (field.value != exchange.requestId) {
+            return false;
+        }
+        hasId = true;
+    }
+    return hasId || (m_requests == 1 && !exchange.wasPolluted);
 }
 
 bool exchange_machine::discard(in_flight &exchange, bool isInterim)
--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -286,3 +286,11 @@
         CHECK(answered_request(head + "Request-Id: r1\r\n" + chunks + trailer + "\r\n\r\n").isLost());
     }
 }
+
+TEST_CASE("exchange_machine: a response that names another request beside this one is not its response (guards against mixed responses)")
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    CHECK(answered_request("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nRequest-Id: r2\r\n" + rest).isLost());
+    CHECK(answered_request("HTTP/1.1 200 OK\r\nRequest-Id: r1, r2\r\n" + rest).isLost());
+    CHECK_FALSE(answered_request("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nRequest-Id: r1\r\n" + rest).isLost());
+}
