Tests for odd names of fields and folded lines in a target's answer

Every byte is tried first, within, last and alone in a name, also in Content-Length and Transfer-Encoding, as first line and as later one. A line that begins with a blank or a tab continues the one before it and hides no field; control bytes in values are refused as well.

No change to the product.

--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -294,3 +294,46 @@
     CHECK(answered_request("HTTP/1.1 200 OK\r\nRequest-Id: r1, r2\r\n" + rest).isLost());
     CHECK_FALSE(answered_request("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nRequest-Id: r1\r\n" + rest).isLost());
 }
+
+TEST_CASE("exchange_machine: a blank or a control byte in the name of a field ends the exchange (guards against lines that are passed on, and wrong bodies)")
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    for (int byte = 0; byte < 256; ++byte) {
+        CAPTURE(byte);
+        const bool isTokenByte
+            = std::isalnum(byte) != 0 || (byte != 0 && std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(byte)) != std::string_view::npos);
+        // The byte stands alone, first, within and last in a name, and in names that tell where the body ends.
+        const std::string odd(1, static_cast<char>(byte));
+        for (const std::string &line :
+             {odd + ": 1", odd + "X: 1", "X" + odd + "Y: 1", "X" + odd + ": 1", "Content-Length" + odd + ": 1", "Transfer-Encoding" + odd + ": chunked"}) {
+            const answered_request first("HTTP/1.1 200 OK\r\n" + line + "\r\nRequest-Id: r1\r\n" + rest);
+            const answered_request later("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nY: 1\r\n" + line + "\r\n" + rest);
+            if (byte == ':') {
+                continue; // Ends the name: the rest of the line is the value.
+            }
+            CAPTURE(line);
+            if (isTokenByte) {
+                CHECK_FALSE(later.isLost());
+                continue;
+            }
+            CHECK(first.isLost());
+            CHECK(first.isEndedByBytes);
+            // A line that begins with a blank or a tab continues the line before it.
+            const bool isContinuation = line.front() == ' ' || line.front() == '\t';
+            CHECK(later.isLost() != isContinuation);
+        }
+    }
+}
+
+TEST_CASE("exchange_machine: a folded line becomes one line and hides no field (guards against heads that others read in another way)")
+{
+    const answered_request answered("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX: a\r\n Content-Length: 5\r\n\t:b\r\nContent-Length: 2\r\n\r\nab");
+    REQUIRE_FALSE(answered.isLost());
+    CHECK(answered.result->response.body == "ab");
+    CHECK(*answered.result->response.find("X") == "a Content-Length: 5 :b");
+    CHECK(answered.result->response.fields.size() == 3);
+    for (const std::string lines : {"X: a\r\n b\x01", "X: a\r\n\x01", "X: a\x01", "X: a\rb", "X: a\nb: c", "X: a\x7f", "Content-Length: 2\r\n 0", "X:\r\n\n"}) {
+        CAPTURE(lines);
+        CHECK(answered_request("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + lines + "\r\nContent-Length: 2\r\n\r\nab").isLost());
+    }
+}
