Use no response whose signature is no single word

What callers could see: a query's whole answer is wrong if one entry of its list of signatures is none. A target in trouble whose Server-Stamp was empty, held a comma or a blank, was 1,000 bytes long or stood twice spoiled the answers of all queries that asked it.

Cause: it was enough that the header is there.

Evidence, on the code before: request_test "a response whose signature is no single word is not used": 9 of 9 such signatures are passed on, for single requests and queries.

Change: a success needs exactly one signature, of 1 to 256 visible characters without a comma; otherwise the response counts as lost, as one without a signature did.

After: the test passes, all of node_test passes.

--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -235,6 +235,47 @@
     CHECK(simulated.response->status == 502);
 }
 
+TEST_CASE("a response whose signature is no single word is not used (one with a comma spoiled the list of signatures of a whole query)")
+{
+    const std::vector<std::vector<std::string>> oddSignatures{{"sig0, sig9"},
+                                                              {"sig0,"},
+                                                              {""},
+                                                              {"sig0 sig9"},
+                                                              {"sig0\t"
+                                                               "x"},
+                                                              {"sig\xe9"},
+                                                              {std::string(1000, 's')},
+                                                              {"sig0", "sig0"},
+                                                              {"sig0", "sig9"}};
+    for (const std::vector<std::string> &signatures : oddSignatures) {
+        CAPTURE(signatures.front());
+        const auto respond = [&](const fake_target::pointer &connection, const http_message &request) {
+            caller_response response;
+            response.fields.push_back({"Request-Id", *request.find("Request-Id")});
+            for (const std::string &signature : signatures) {
+                response.fields.push_back({"Server-Stamp", signature});
+            }
+            response.body = High;
+            connection->respond(response, false);
+        };
+        node_fixture fixture;
+        fake_target odd(fixture.io, fixture.timers, "t0", respond);
+        fake_target sound(fixture.io, fixture.timers, "t1", respondWithRecords("sig1", Middle));
+        fixture.add(odd.registration("s0"));
+        fixture.add(sound.registration("s1"));
+        simulated_request query(fixture, gatherRoute(2, 0.5));
+        query.run();
+        CHECK(query.outcome == request_outcome::Partial);
+        CHECK(query.header("Part-Stamps") == "sig1");
+        node_fixture fixtureOfSingle;
+        fake_target oddAlone(fixtureOfSingle.io, fixtureOfSingle.timers, "t0", respond);
+        fixtureOfSingle.add(oddAlone.registration("s0"));
+        simulated_request single(fixtureOfSingle, forwardRoute(repeat_rule::NonIdempotent));
+        single.run();
+        CHECK(single.response->status == 502);
+    }
+}
+
 TEST_CASE(
     "gather_request: refuses immediately when too few shards are reachable, but not after a sub-query ran (guards against false refusals and useless waiting)")
 {
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -27,6 +27,13 @@
     return status >= 200 && status < 300;
 }
 
+bool hasOneSignature(const http_message &response)
+{
+    const auto isNamed = [](const header_field &field) { return isSameName(field.name, platform_header::Signature); };
+    const std::string *signature = response.find(platform_header::Signature);
+    return signature != nullptr && isSignature(*signature) && std::count_if(response.fields.begin(), response.fields.end(), isNamed) == 1;
+}
+
 } // namespace
 
 std::string_view nameOf(attempt_outcome outcome)
@@ -208,7 +215,7 @@
     }
     const std::string *id = response.find(platform_header::RequestId);
     const bool hasMatchingId = id != nullptr && *id == m_options.request->requestId();
-    const bool isUsable = response.find(platform_header::Signature) != nullptr && response.find("Content-Encoding") == nullptr;
+    const bool isUsable = hasOneSignature(response) && response.find("Content-Encoding") == nullptr;
     return hasMatchingId && isUsable ? attempt_outcome::Success : attempt_outcome::Lost;
 }
 
--- a/node/target_attempt.h
+++ b/node/target_attempt.h
@@ -15,7 +15,7 @@
 {
 
 enum class attempt_outcome : std::uint8_t {
-    Success, ///< A signed response with a 2xx status, the id of the request and no content encoding.
+    Success, ///< A response with a 2xx status, one signature, the id of the request and no content encoding.
     TargetFailure, ///< The target responded with another status. It may have run the request.
     NotRun, ///< The target reported that it did not run the request.
     Unreachable, ///< Nothing was sent.
