Keep heartbeats within the receivers' buffer whatever odd entries name

What callers could see: an instance announces the data centres of the targets that it knows in each heartbeat. Entries of another writer with many or long names of data centres make heartbeats longer than the 8 KB that a receiver reads; they are then malformed, the instance counts as dead at all others, and the directory stops naming it. All instances read the same entries, so each would be alone. A crash whose request has an id of 8 KB did the same.

Evidence, on the code before: peer_task_test "many and long names of data centres in odd entries don't silence an instance": its new status never arrives.

After: the test passes, with a request's id of 20,000 bytes as well.

--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds StandbyInterval{2000};
 /// Keeps a datagram well below the usual MTU of 1,500 bytes.
 constexpr std::size_t MaxAddressesPerHeartbeat = 64;
+/// Names of data centres and ids of requests come from other writers and from callers, and may be long.
+constexpr std::size_t MaxDataCentresPerHeartbeat = 16;
 constexpr std::chrono::milliseconds IsolatedMemberListInterval{2000}; ///< While no peer is alive.
 constexpr std::chrono::milliseconds RegistrationDelay{1500}; ///< By then most instances have discovered each other through the seeds.
 constexpr std::chrono::milliseconds DiscoveryTimeout{1500};
@@ -38,6 +40,13 @@
 constexpr std::chrono::milliseconds InitialRetryDelay{200};
 constexpr std::chrono::milliseconds MaxRetryDelay{3000};
 
+std::string pack(const peer_heartbeat &heartbeat)
+{
+    msgpack::sbuffer packed;
+    msgpack::pack(packed, heartbeat);
+    return {packed.data(), packed.size()};
+}
+
 } // namespace
 
 peer_task::peer_task(node_context &context, metadata_store &store, peer_timings timings)
@@ -188,13 +197,18 @@
     heartbeat.maxSenders = static_cast<std::uint32_t>(m_status.maxSenders);
     heartbeat.intervalMilliseconds = static_cast<std::uint32_t>(heartbeatInterval().count());
     heartbeat.targetDataCentres = m_status.targetDataCentres;
+    heartbeat.targetDataCentres.resize(std::min(heartbeat.targetDataCentres.size(), MaxDataCentresPerHeartbeat));
     heartbeat.crashes = m_context.crashes.recentCrashes(boot_clock::now());
     if (withAddresses) {
         heartbeat.knownAddresses = introductions();
     }
-    msgpack::sbuffer packed;
-    msgpack::pack(packed, heartbeat);
-    return {packed.data(), packed.size()};
+    std::string datagram = pack(heartbeat);
+    if (datagram.size() > m_buffer.size()) {
+        m_context.metrics.add("peer_crashes_not_announced_total", static_cast<std::int64_t>(heartbeat.crashes.size()));
+        heartbeat.crashes.clear();
+        datagram = pack(heartbeat);
+    }
+    return datagram;
 }
 
 std::vector<std::string> peer_task::introductions() const
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -22,7 +22,7 @@
     bool isServing = false;
     bool isImpaired = false;
     std::size_t maxSenders = 0; ///< 0: not known.
-    std::vector<std::string> targetDataCentres;
+    std::vector<std::string> targetDataCentres; ///< Those with most targets first; only some are announced.
 };
 
 /// Durations that tests shorten.
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -295,6 +295,39 @@
     CHECK(fixture.runUntil([&] { return restarted->context.crashes.refusedFor(request, boot_clock::now()) > 30s; }, 1s));
 }
 
+TEST_CASE("peer_task: many and long names of data centres in odd entries don't silence an instance (its heartbeats outgrew the receivers' buffer)")
+{
+    peers_fixture fixture;
+    auto first = fixture.make(55, {});
+    auto second = fixture.make(56, {55});
+    REQUIRE(fixture.runUntil([&] { return first->peersAlive() == 1 && second->peersAlive() == 1; }, 3s));
+    instance_status status;
+    status.isServing = true;
+    status.targetDataCentres = {"dc1", "dc2"};
+    for (int i = 0; i < 300; ++i) {
+        status.targetDataCentres.push_back(std::to_string(i) + std::string(250, 'x'));
+    }
+    first->task->setStatus(status);
+    REQUIRE(
+        fixture.runUntil([&] { return second->peersAlive() == 1 && second->task->peers().alive(std::chrono::steady_clock::now())[0].status.isServing; }, 2s));
+    fixture.runFor(2500ms);
+    REQUIRE(second->peersAlive() == 1);
+    const auto announced = second->task->peers().alive(std::chrono::steady_clock::now())[0].status.targetDataCentres;
+    CHECK(announced.size() >= 2);
+    CHECK(announced[0] == "dc1");
+
+    // A caller's ids may be long as well.
+    http_message message;
+    message.method = "GET";
+    message.target = "/a/b";
+    message.fields = {{"Host", "h"}, {"Request-Id", std::string(20000, 'r')}};
+    first->context.crashes.onConnectionLost("t1", outgoing_request(message), boot_clock::now());
+    first->context.crashes.onTargetDown("t1", boot_clock::now());
+    REQUIRE_FALSE(first->context.crashes.recentCrashes(boot_clock::now()).empty());
+    fixture.runFor(2500ms);
+    CHECK(second->peersAlive() == 1);
+}
+
 TEST_CASE("peer_task: malformed refusals in the store are skipped (guards against odd entries of other writers)")
 {
     peers_fixture fixture;
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -136,9 +136,13 @@
         return status;
     }
     status.maxSenders = maxSendersFor(m_configuration->minConnectionLimit());
-    for (const auto &[dataCentre, count] : m_pool.targetsOfDataCentre()) {
+    const auto counts = m_pool.targetsOfDataCentre();
+    for (const auto &[dataCentre, count] : counts) {
         status.targetDataCentres.push_back(dataCentre);
     }
+    std::stable_sort(status.targetDataCentres.begin(), status.targetDataCentres.end(), [&counts](const std::string &left, const std::string &right) {
+        return counts.at(left) > counts.at(right);
+    });
     return status;
 }
 
