Keep of a target's entry only the fields that are used

What callers could see: the whole entry of each sound registration was kept in memory as parsed JSON, for copies to other instances. Entries may have 1 MB, and parsed up to eight times that, so a few entries with other fields beside the named ones could fill a machine of 160 MB and every copy of the catalogue. The ids of odd entries that were logged were kept for ever.

Evidence, on the code before: catalogue_sync_test "keeps of an entry only what it needs": the copy of an entry with a note of 200,000 bytes has 200,159.

Change: copies are encoded from the decoded registrations, in the same format, and no second store of them is kept. Ids of odd entries are forgotten with the entries.

After: the test passes, and the copy decodes to the same target; all of node_test passes.

--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -102,7 +102,6 @@
     for (const std::string &id : m_targets.clear()) {
         m_handlers.onTargetRemoved(id);
     }
-    m_targetRecords.clear();
 }
 
 bool catalogue_sync::isReady() const
@@ -278,6 +277,7 @@
     }
     if (kind == platform_kind::Targets) {
         if (isDeleted) {
+            m_unreadableTargets.erase(object.name);
             markTargetStale(object.name);
         } else {
             applyTarget(object.name, object.spec);
@@ -306,11 +306,7 @@
 
 void catalogue_sync::retainTargets(const std::set<std::string> &listed)
 {
-    for (const auto &[id, record] : m_targets.records()) {
-        if (listed.count(id) == 0) {
-            m_targetRecords.erase(id);
-        }
-    }
+    std::erase_if(m_unreadableTargets, [&listed](const std::string &id) { return listed.count(id) == 0; });
     for (const std::string &id : m_targets.markMissingStale(listed, clock::now())) {
         if (const auto *record = m_targets.find(id)) {
             m_handlers.onTarget(*record, false);
@@ -358,11 +354,11 @@
         markTargetStale(id);
         return;
     }
+    m_unreadableTargets.erase(id);
     const target_catalogue::change change = m_targets.apply(decoded.value(), now);
     if (change == target_catalogue::change::None) {
         return;
     }
-    m_targetRecords[id] = spec;
     m_handlers.onTarget(*m_targets.find(id), change == target_catalogue::change::Restarted);
     const registered_target &target = decoded.value();
     m_context.log.write(event_class::StateChange,
@@ -379,7 +375,6 @@
 void catalogue_sync::markTargetStale(const std::string &id)
 {
     const auto now = clock::now();
-    m_targetRecords.erase(id);
     const target_catalogue::change change = m_targets.markStale(id, now);
     if (change == target_catalogue::change::None) {
         return;
@@ -495,6 +490,17 @@
                         clock::now());
 }
 
+std::map<std::string, json> catalogue_sync::targetRecords() const
+{
+    std::map<std::string, json> encoded;
+    for (const auto &[id, record] : m_targets.records()) {
+        if (!record.isStale) {
+            encoded.emplace(id, encodeTarget(record.target));
+        }
+    }
+    return encoded;
+}
+
 std::optional<catalogue_snapshot> catalogue_sync::snapshot(const known_revisions &peer) const
 {
     // While the store is unreachable, this instance asks others itself.
@@ -506,7 +512,7 @@
         held.configuration = {m_configurationKind.progress.revisions(), m_configurationRecord};
     }
     if (m_targetKind.progress.revisions().completeThrough > peer.targets) {
-        held.targets = {m_targetKind.progress.revisions(), m_targetRecords};
+        held.targets = {m_targetKind.progress.revisions(), targetRecords()};
     }
     if (m_evacuationKind.progress.revisions().completeThrough > peer.evacuations) {
         held.evacuations = {m_evacuationKind.progress.revisions(), m_evacuations};
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -82,6 +82,8 @@
     boost::asio::awaitable<void> fetchFromPeer(endpoint peer);
     void adopt(const catalogue_snapshot &offered);
     void logAdopted(const watched_kind &kind);
+    /// Returns the registrations in the store's format, by id, without those that have disappeared.
+    std::map<std::string, nlohmann::json> targetRecords() const;
     void recordResult(watched_kind &kind, const result<void> &outcome);
     void apply(const std::string &kind, const store_object &object, bool isDeleted);
     void retain(const std::string &kind, const std::set<std::string> &listed);
@@ -101,12 +103,11 @@
     watched_kind m_targetKind;
     watched_kind m_evacuationKind;
     target_catalogue m_targets;
-    std::map<std::string, nlohmann::json> m_targetRecords; ///< Unparsed, for snapshot().
     nlohmann::json m_configurationRecord;
     std::uint64_t m_configurationVersion = 0; ///< Newest version that was applied, also before a deactivation; older ones are ignored.
     bool m_isConfigurationPublished = false; ///< onConfiguration was called with a configuration since the last activation.
     std::set<std::string> m_evacuations;
-    std::set<std::string> m_unreadableTargets; ///< Ids of unreadable registrations that have been logged.
+    std::set<std::string> m_unreadableTargets; ///< Ids of unreadable registrations in the store that have been logged.
     store_probe m_probe;
     clock::time_point m_callsDroppedAt{};
     bool m_isActive = false;
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -259,6 +259,23 @@
     }
 }
 
+TEST_CASE("catalogue_sync: keeps of an entry only what it needs (entries of another writer could fill an instance's memory, and copies for others)")
+{
+    sync_fixture fixture;
+    fixture.standin.put("config", "main", configurationSpec(1));
+    json large = targetSpec("s0");
+    large["Notes"] = std::string(200000, 'x');
+    large["More"] = json::array({1, json::object()});
+    fixture.standin.put("servers", "t0", large);
+    fixture.start();
+    REQUIRE(fixture.runUntil([&] { return fixture.sync->isReady() && fixture.targets.count("t0") == 1; }));
+    const auto held = fixture.sync->snapshot({});
+    REQUIRE((held && held->targets));
+    const json copy = held->targets->content.at("t0");
+    CHECK(copy.dump().size() < 1000);
+    CHECK(decodeTarget("t0", copy).value() == fixture.targets["t0"].target);
+}
+
 TEST_CASE("catalogue_sync: a store that becomes silent during a watch is detected (an instance cut off from it didn't fetch from peers for 12 s)")
 {
     sync_fixture fixture;
