Read copies from other instances with the same limits as the store's entries

What callers could see: an instance that can't reach the store asks others for their copies. A copy nested 200,000 lists deep ended the process (SIGSEGV). A copy of later revisions whose configuration can't be read counted as progress: the instance held none, refused all of the store's answers of earlier revisions, and stayed not ready.

Cause: the copy was parsed without a limit of depth, and copying a nested value is recursive; the revisions were taken over before the configuration was decoded.

Evidence, on the code before: catalogue_sync_test "an odd copy of a peer is refused ..." ends with SIGSEGV; with only the limit of depth added, the copy with 7 in place of a configuration keeps the instance from ever being ready.

Change: parseBounded() reads copies too; a copy of the configuration that can't be decoded is counted (catalogue_from_peer_malformed_total) and left out.

After: the test passes for ten odd copies; all of node_test passes.

--- a/node/catalogue_snapshot.cpp
+++ b/node/catalogue_snapshot.cpp
@@ -1,5 +1,7 @@
 #include "node/catalogue_snapshot.h"
 
+#include "platform/platform.h"
+
 namespace balsamhook
 {
 
@@ -43,10 +45,11 @@
 
 std::optional<catalogue_snapshot> decodeSnapshot(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
-    if (!body.is_object()) {
+    const std::optional<json> parsed = parseBounded(text);
+    if (!parsed || !parsed->is_object()) {
         return std::nullopt;
     }
+    const json &body = *parsed;
     try {
         catalogue_snapshot snapshot;
         snapshot.configuration = decodeKind<json>(body, "configuration");
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -459,7 +459,12 @@
 
 void catalogue_sync::adopt(const catalogue_snapshot &offered)
 {
-    if (offered.configuration && m_configurationKind.progress.acceptPeerCopy(offered.configuration->revisions)) {
+    // A copy that can't be read must not count as progress.
+    const bool isConfigurationReadable = offered.configuration && decodeConfiguration(offered.configuration->content);
+    if (offered.configuration && !isConfigurationReadable) {
+        m_context.metrics.add("catalogue_from_peer_malformed_total");
+    }
+    if (isConfigurationReadable && m_configurationKind.progress.acceptPeerCopy(offered.configuration->revisions)) {
         applyConfiguration(offered.configuration->content, "peer");
         logAdopted(m_configurationKind);
     }
