Bound the memory of all targets' responses together

Here: one response was limited (64 KB of head, 16 MiB of body), but not all together, and a machine of a site file has 160 MB. Short fields of a head take 16 times their bytes. The parts of a query were kept as records of 64 bytes for each 16 until its end; a signature could have 64 KB.

Ruled out: eviction of the largest response (its handler would run inside another connection's); a smaller limit for each (times the connections of a machine it is too much memory, or too little for an honest response).

Change: response_memory counts what responses take (capacity of the body, fields, unparsed bytes), from the first byte until the caller has the last one. A response may take no more than what all others leave free, so one alone gets half of the limit, several large ones leave room, and 8 KB are always granted. The limit is a sixteenth of Limits.MemoryMb (10 MiB at 160 MB): buffers grow by doubling and a response is copied twice. An exchange without room is lost (502, or another target for what may be repeated), counted in responses_without_room_total, logged as response_without_room. A query keeps the greatest records only.

Unit tests: 500 connections with endless heads and bodies stay within the limit plus 8 KB each while small responses complete; a property test of the counting; record_merge against a full sort.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -170,20 +170,26 @@
     m_hasRespondedLast = m_closeAfter;
     m_busy = false;
     m_idleSince = clock::now();
+    m_outgoingMemory = response.memory;
     send(serialize(response, m_closeAfter));
     if (m_closed) {
         return;
     }
     if (!m_closeAfter) {
         armTimer(m_idleSince + m_settings.idleTimeout);
-        // Pipelined requests are processed from the event loop to avoid unbounded recursion.
-        if (!m_unparsed.empty()) {
-            asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->process(); });
-        }
+        processPipelined();
         read();
     }
 }
 
+void caller_connection::processPipelined()
+{
+    // From the event loop, to avoid unbounded recursion.
+    if (!m_unparsed.empty()) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->process(); });
+    }
+}
+
 void caller_connection::send(std::string bytes)
 {
     if (!m_outgoing.empty()) {
@@ -226,11 +232,14 @@
 
 void caller_connection::onWritten()
 {
-    m_outgoing.clear();
+    m_outgoing = std::string();
+    m_outgoingMemory = nullptr;
     m_written = 0;
     if (m_hasRespondedLast && !m_lingering) {
         lingerAndClose();
+        return;
     }
+    processPipelined();
 }
 
 void caller_connection::lingerAndClose()
@@ -293,6 +302,7 @@
         return;
     }
     m_closed = true;
+    m_outgoingMemory = nullptr;
     m_timers.stop(m_timer);
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -21,6 +21,7 @@
     std::string body;
     bool omitsLength = false; ///< `fields` contains the length; used by stand-ins that violate the protocol.
     bool omitsBody = false; ///< For responses to HEAD.
+    response_memory::holding_pointer memory; ///< Counts the response's memory until it is sent; may be empty.
 };
 
 /// Returns the standard reason phrase of an HTTP status code.
@@ -74,6 +75,7 @@
     void read();
     void onRead(const boost::system::error_code &failed, std::size_t size);
     void process();
+    void processPipelined();
     void reject(const boost::system::error_code &failed);
     void send(std::string bytes);
     void writeRemaining();
@@ -91,6 +93,7 @@
     std::array<char, 4096> m_buffer{};
     std::string m_unparsed; ///< Received bytes that the parser hasn't consumed, pipelined requests included.
     std::string m_outgoing;
+    response_memory::holding_pointer m_outgoingMemory; ///< Of the response in m_outgoing.
     std::size_t m_written = 0;
     timer_queue::handle m_timer = 0;
     clock::time_point m_idleSince;
--- a/http/exchange_machine.cpp
+++ b/http/exchange_machine.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-exchange_machine::exchange_machine(message_reader::limits limits)
+exchange_machine::exchange_machine(message_reader::limits limits, const response_memory *memory)
     : m_limits(limits)
     , m_reader(message_kind::Response, limits)
+    , m_memory(memory)
 {
 }
 
@@ -55,10 +56,16 @@
     while (!data.empty()) {
         boost::system::error_code failed;
         data.remove_prefix(m_reader.feed(data, failed));
+        const bool isIncomplete = !failed && !m_reader.isDone();
         if (failed) {
             return fail();
         }
-        if (!m_reader.isDone()) {
+        if (!isWithinMemory(m_reader.heldBytes() + (isIncomplete ? data.size() : 0))) {
+            exchange_result lost = fail();
+            lost.hadNoRoom = true;
+            return lost;
+        }
+        if (isIncomplete) {
             // The reader consumes complete lines only; the rest is passed again with the next bytes.
             m_unparsed = data;
             return m_unparsed.size() > m_limits.headerBytes ? std::optional(fail()) : std::nullopt;
@@ -73,6 +80,7 @@
 std::optional<exchange_result> exchange_machine::onMessage(in_flight &exchange, bool hasFurtherBytes)
 {
     http_message response = m_reader.take();
+    response.memory = std::exchange(m_holding, nullptr);
     const bool isInterim = isInterimStatus(response.status);
     if (isInterim || !isResponseTo(exchange, response)) {
         return discard(exchange, isInterim) ? std::nullopt : std::optional(fail());
@@ -114,8 +122,20 @@
     return ++exchange.discarded <= MaxDiscardedResponses;
 }
 
+bool exchange_machine::isWithinMemory(std::size_t bytes)
+{
+    if (m_memory == nullptr) {
+        return true;
+    }
+    if (!m_holding) {
+        m_holding = m_memory->hold();
+    }
+    return m_holding->resize(bytes);
+}
+
 exchange_result exchange_machine::fail()
 {
+    m_holding = nullptr;
     m_state = ended{};
     return {exchange_outcome::Lost, {}, false, false, true};
 }
--- a/http/exchange_machine.h
+++ b/http/exchange_machine.h
@@ -24,6 +24,7 @@
     bool wasDisconnected = false; ///< The exchange failed because the connection ended, not because of a malformed response.
     bool wasClosedByTarget = false; ///< The target closed or reset the connection; false when it ended by a timeout of the network.
     bool hasReceivedBytes = false; ///< At least part of a response was received.
+    bool hadNoRoom = false; ///< The response outgrew the memory for responses.
 };
 
 /// How a connection ended.
@@ -49,7 +50,8 @@
 class exchange_machine
 {
 public:
-    explicit exchange_machine(message_reader::limits limits);
+    /// Responses are counted in the memory if one is given; the exchange is lost when there is no room for the response.
+    explicit exchange_machine(message_reader::limits limits, const response_memory *memory = nullptr);
 
     /// A request is about to be written. expectsBody is false for HEAD. Precondition: isReusable().
     void begin(std::string requestId, bool expectsBody);
@@ -88,6 +90,7 @@
     };
 
     exchange_result fail();
+    bool isWithinMemory(std::size_t bytes);
     std::optional<exchange_result> onMessage(in_flight &exchange, bool hasFurtherBytes);
     bool isResponseTo(const in_flight &exchange, const http_message &response) const;
     bool discard(in_flight &exchange, bool isInterim);
@@ -95,6 +98,8 @@
     message_reader::limits m_limits;
     message_reader m_reader;
     std::string m_unparsed; ///< Received bytes of an incomplete line.
+    const response_memory *m_memory;
+    response_memory::holding_pointer m_holding; ///< Of the response that is being received.
     std::uint64_t m_requests = 0; ///< Begun on this connection.
     std::variant<idle, in_flight, ended> m_state;
 };
--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -231,6 +231,84 @@
 
 } // namespace
 
+TEST_CASE(
+    "exchange_machine: many heads and bodies without end together stay within the memory, and small responses find room (memory was limited per response)")
+{
+    constexpr std::size_t Limit = 1024 * 1024;
+    constexpr std::size_t Machines = 500;
+    const std::string line(60, 'x');
+    for (const auto &[start, repeated] : std::vector<std::pair<std::string, std::string>>{{"", line},
+                                                                                          {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX: ", line},
+                                                                                          {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n", "a:\r\n"},
+                                                                                          {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n", line},
+                                                                                          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", line}}) {
+        CAPTURE(start);
+        const response_memory memory(Limit);
+        std::vector<std::unique_ptr<exchange_machine>> machines;
+        std::string piece = start;
+        for (std::size_t i = 0; i < Machines; ++i) {
+            machines.push_back(std::make_unique<exchange_machine>(message_reader::limits{}, &memory));
+            machines.back()->begin("r1", true);
+            machines.back()->onRequestWritten();
+        }
+        std::size_t most = 0;
+        for (int round = 0; round < 20; ++round) {
+            for (const auto &machine : machines) {
+                if (!machine->hasEnded()) {
+                    (void)machine->onBytes(piece);
+                }
+                most = std::max(most, memory.used());
+            }
+            exchange_machine sound(message_reader::limits{}, &memory);
+            sound.begin("r1", true);
+            sound.onRequestWritten();
+            const auto result = sound.onBytes(responseTo(1));
+            REQUIRE(result);
+            CHECK(result->outcome == exchange_outcome::Completed);
+            piece.clear();
+            while (piece.size() < 4000) {
+                piece += repeated;
+            }
+        }
+        CHECK(most <= Limit + (Machines + 1) * response_memory::SmallResponseBytes);
+        machines.clear();
+        CHECK(memory.used() == 0);
+    }
+}
+
+TEST_CASE("response_memory: any sequence stays within the limit and small responses, and counts nothing twice or for ever")
+{
+    const bool holds = rc::check([] {
+        constexpr std::size_t Limit = 200 * 1024;
+        const response_memory memory(Limit);
+        std::vector<std::pair<response_memory::holding_pointer, std::size_t>> held;
+        std::size_t expected = 0;
+        for (int step = 0; step < 50; ++step) {
+            if (held.empty() || *rc::gen::inRange(0, 3) == 0) {
+                held.emplace_back(memory.hold(), 0);
+            }
+            const auto index = *rc::gen::inRange<std::size_t>(0, held.size());
+            if (*rc::gen::inRange(0, 5) == 0) {
+                expected -= held[index].second;
+                held.erase(held.begin() + static_cast<std::ptrdiff_t>(index));
+            } else {
+                const auto bytes = *rc::gen::inRange<std::size_t>(0, 150 * 1024);
+                auto &[holding, size] = held[index];
+                const bool hasRoom = holding->resize(bytes);
+                RC_ASSERT(hasRoom || bytes > response_memory::SmallResponseBytes);
+                RC_ASSERT(!hasRoom || bytes <= Limit / 2 || bytes <= size);
+                expected += hasRoom ? bytes - size : 0;
+                size = hasRoom ? bytes : size;
+            }
+            RC_ASSERT(memory.used() == expected);
+            RC_ASSERT(expected <= Limit + held.size() * response_memory::SmallResponseBytes);
+        }
+        held.clear();
+        RC_ASSERT(memory.used() == 0);
+    });
+    CHECK(holds);
+}
+
 TEST_CASE("exchange_machine: a status line that HTTP doesn't have ends the exchange at once (a caller got status 000 as an answer)")
 {
     for (const std::string status : {"000", "001", "099", "101", "600", "999", "20", "2000", "2x0", "-20", "+20", " 200", "200\t", "\x01"}) {
--- a/http/http.h
+++ b/http/http.h
@@ -9,4 +9,5 @@
 #include "http/http_message.h"
 #include "http/http_server.h"
 #include "http/message_reader.h"
+#include "http/response_memory.h"
 #include "http/target_connection.h"
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -77,7 +77,16 @@
     virtual bool isKeepAlive() const = 0;
     virtual void expectNoBody() = 0;
 
+    /// A field takes far more memory than a short line has bytes.
+    std::size_t heldBytes() const
+    {
+        return message.fields.capacity() * sizeof(header_field) + m_fieldBytes + message.body.capacity();
+    }
+
     http_message message;
+
+protected:
+    std::size_t m_fieldBytes = 0; ///< Of all names and values.
 };
 
 template<bool IsRequest>
@@ -164,6 +173,7 @@
         // Fields of a trailer come after those of the header and aren't kept: whoever reads the message takes them for the header's.
         if (!base::is_header_done()) {
             message.fields.push_back({std::string(name), std::string(value)});
+            m_fieldBytes += name.size() + value.size();
         }
     }
 
@@ -177,7 +187,7 @@
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
     {
-        constexpr std::uint64_t MaxReserveBytes = 64 * 1024;
+        constexpr std::uint64_t MaxReserveBytes = 4 * 1024;
         message.body.reserve(static_cast<std::size_t>(std::min(length.value_or(0), MaxReserveBytes)));
     }
 
@@ -247,6 +257,11 @@
     return m_parser->isDone();
 }
 
+std::size_t message_reader::heldBytes() const
+{
+    return m_parser->heldBytes();
+}
+
 bool message_reader::expectsContinue() const
 {
     BALSAM_ASSERT(hasHeader());
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/response_memory.h"
+
 #include <boost/system/error_code.hpp>
 #include <cstdint>
 #include <memory>
@@ -26,6 +28,7 @@
     std::vector<header_field> fields;
     std::string body; ///< Chunked encoding is removed.
     bool keepAlive = false;
+    response_memory::holding_pointer memory; ///< Responses from targets: counts their memory while a copy exists; may be empty.
 
     /// Returns the value of the first field with this name, ignoring case, or nullptr.
     const std::string *find(std::string_view name) const;
@@ -75,6 +78,9 @@
     bool hasHeader() const;
     bool isDone() const;
 
+    /// Memory that the current message takes, in bytes.
+    std::size_t heldBytes() const;
+
     /// True if the request has the header "Expect: 100-continue". Precondition: hasHeader().
     bool expectsContinue() const;
 
--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -46,11 +46,11 @@
 
 } // namespace
 
-target_connection::target_connection(asio::io_context &context, endpoint peer, message_reader::limits limits)
+target_connection::target_connection(asio::io_context &context, endpoint peer, message_reader::limits limits, const response_memory *memory)
     : m_socket(context)
     , m_peer(std::move(peer))
     , m_number(nextNumber())
-    , m_machine(limits)
+    , m_machine(limits, memory)
 {
 }
 
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -26,8 +26,8 @@
     using exchange_handler = std::function<void(exchange_result)>;
     using close_handler = std::function<void()>;
 
-    /// Precondition: context outlives the connection.
-    target_connection(boost::asio::io_context &context, endpoint peer, message_reader::limits limits);
+    /// Responses are counted in the memory if one is given. Precondition: context and memory outlive the connection.
+    target_connection(boost::asio::io_context &context, endpoint peer, message_reader::limits limits, const response_memory *memory = nullptr);
 
     /// Opens the connection and calls the handler once from the event loop, unless close() is called first. Precondition: called at most once.
     void open(open_handler done);
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -513,6 +513,7 @@
     CHECK(read.value().retrySlack == 52);
     CHECK(read.value().targetHeartbeat == 900ms);
     CHECK(read.value().processorShare == 0.25);
+    CHECK(read.value().memoryBytes == 260 * 1024 * 1024);
     const std::vector<std::pair<std::string, std::string>> broken{
         {"NodeName=n1", "NodeName"}, {"InternalPorts=90,95", "InternalPorts"}, {"Endpoints.Front=127.0.0.1:81", "Endpoints.Front"}};
     for (const auto &[line, name] : broken) {
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -223,6 +223,7 @@
     response.status = message.status;
     response.omitsBody = m_request.omitsBody;
     response.body = message.body;
+    response.memory = message.memory;
     for (const header_field &field : message.fields) {
         if (!isHopByHop(field.name) && !isSameName(field.name, "Content-Length")) {
             response.fields.push_back(field);
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -27,6 +27,7 @@
     , m_statistics(statistics)
     , m_request(std::move(request))
     , m_responseHandler(std::move(responseHandler))
+    , m_records(std::get<gather_destination>(m_request.matched->destination).recordCount)
 {
     BALSAM_ASSERT(std::holds_alternative<gather_destination>(m_request.matched->destination));
 }
@@ -404,7 +405,7 @@
     logMissing();
     response.fields.push_back({std::string(platform_header::MissingParts), std::to_string(missing)});
     response.fields.push_back({"Content-Type", "application/octet-stream"});
-    response.body = m_records.greatest(gather().recordCount);
+    response.body = m_records.greatest();
     if (missing == 0) {
         m_context.crashes.onCompleted(*m_request.outgoing, boot_clock::now());
     }
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "http/http.h"
 #include "node/crash_tracker.h"
 #include "node/target_limits.h"
 #include "platform/platform.h"
@@ -17,6 +18,10 @@
 namespace balsamhook
 {
 
+/// Part of the machine's memory for the responses that are received at one time: buffers grow by doubling and a response is copied twice on its way to the
+/// caller.
+constexpr std::size_t ResponseMemoryDivisor = 16;
+
 /// State shared by all tasks of the process. Not thread-safe: all tasks run on the one thread of the io_context.
 struct node_context
 {
@@ -32,6 +37,8 @@
     target_limits limits{log, metrics, settings.instance};
     target_notices notices;
     data_centre_monitor dataCentres;
+    response_memory responses{settings.memoryBytes / ResponseMemoryDivisor}; ///< Of targets.
+    response_memory storeResponses{settings.memoryBytes / ResponseMemoryDivisor}; ///< Of the store, and of other instances.
     std::mt19937 random{std::random_device{}()};
 
     /// Returns a uniformly distributed random number in [0, 1).
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -235,6 +235,7 @@
         m_metrics.set("is_sender", m_peers.isSender() ? 1 : 0);
         m_metrics.set("peers_alive", static_cast<std::int64_t>(m_peers.peers().alive(clock::now()).size()));
         m_metrics.set("store_reached", m_catalogue.isStoreReachable() ? 1 : 0);
+        m_metrics.set("response_bytes", static_cast<std::int64_t>(m_context.responses.used()));
         m_metrics.set("log_lines_dropped", static_cast<std::int64_t>(m_log.dropped()));
         co_return textResponse(200, m_metrics.text());
     }
--- a/node/record_merge.cpp
+++ b/node/record_merge.cpp
@@ -6,22 +6,44 @@
 namespace balsamhook
 {
 
+namespace
+{
+
+/// Sorting fewer records more often would cost more than keeping them.
+constexpr std::size_t MinKeptRecords = 256;
+
+} // namespace
+
+record_merge::record_merge(std::size_t count)
+    : m_count(count)
+{
+}
+
 void record_merge::add(std::string_view part)
 {
     for (std::size_t offset = 0; offset + RecordBytes <= part.size(); offset += RecordBytes) {
         m_records.emplace_back(part.substr(offset, RecordBytes));
+        if (m_records.size() / 2 > std::max(m_count, MinKeptRecords)) {
+            prune();
+        }
     }
 }
 
-std::string record_merge::greatest(std::size_t count)
+void record_merge::prune()
 {
-    const std::size_t kept = std::min(count, m_records.size());
+    const std::size_t kept = std::min(m_count, m_records.size());
     // std::string compares as unsigned bytes.
     std::partial_sort(m_records.begin(), m_records.begin() + static_cast<std::ptrdiff_t>(kept), m_records.end(), std::greater<>());
+    m_records.resize(kept);
+}
+
+std::string record_merge::greatest()
+{
+    prune();
     std::string body;
-    body.reserve(kept * RecordBytes);
-    for (std::size_t i = 0; i < kept; ++i) {
-        body += m_records[i];
+    body.reserve(m_records.size() * RecordBytes);
+    for (const std::string &record : m_records) {
+        body += record;
     }
     return body;
 }
--- a/node/record_merge.h
+++ b/node/record_merge.h
@@ -11,18 +11,25 @@
 /// Size of one record in a part.
 constexpr std::size_t RecordBytes = 16;
 
-/// Collects the records of many parts and returns the greatest. Records are compared as unsigned bytes; equal records are all kept. Not thread-safe.
+/// Keeps the greatest records of many parts. Records are compared as unsigned bytes; equal records all count. Not thread-safe.
 class record_merge
 {
 public:
+    /// Up to count records are the result.
+    explicit record_merge(std::size_t count);
+
     /// Adds the records of a part; a remainder shorter than a record is ignored.
     void add(std::string_view part);
 
-    /// Returns up to count records, greatest first. Precondition: no other call follows.
-    std::string greatest(std::size_t count);
+    /// Returns the greatest records, greatest first. Precondition: no other call follows.
+    std::string greatest();
 
 private:
-    std::vector<std::string> m_records;
+    /// Sorts the greatest records to the front and drops the others.
+    void prune();
+
+    std::size_t m_count;
+    std::vector<std::string> m_records; ///< At most twice the count and some more, so that a part without end isn't kept.
 };
 
 } // namespace balsamhook
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -181,6 +181,32 @@
     CHECK(std::stoi(*seen.find("Deadline-Ms")) <= 1500);
 }
 
+TEST_CASE("record_merge: the greatest of many records are the same as of all sorted, equal ones included (guards against dropping records too early)")
+{
+    for (const std::size_t count : {std::size_t(0), std::size_t(1), std::size_t(10), std::size_t(700), std::size_t(100000)}) {
+        CAPTURE(count);
+        std::mt19937 random(7);
+        record_merge merge(count);
+        std::vector<std::string> all;
+        for (int part = 0; part < 50; ++part) {
+            std::string body;
+            for (int i = 0; i < 100; ++i) {
+                std::string record(RecordBytes, static_cast<char>(random() % 256));
+                record.back() = static_cast<char>(random() % 8);
+                body += record;
+                all.push_back(record);
+            }
+            merge.add(body + "rest");
+        }
+        std::sort(all.begin(), all.end(), std::greater<>());
+        std::string expected;
+        for (std::size_t i = 0; i < std::min(count, all.size()); ++i) {
+            expected += all[i];
+        }
+        CHECK(merge.greatest() == expected);
+    }
+}
+
 TEST_CASE("gather_request: hedges to the other replica when the first is late (guards against one paused target delaying the response)")
 {
     node_fixture fixture;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -157,7 +157,7 @@
     closeUsedConnections();
     ++m_link->connections;
     m_context.metrics.add("target_connections_opened_total");
-    m_connection = std::make_shared<target_connection>(m_context.io, m_link->target.address, ResponseLimits);
+    m_connection = std::make_shared<target_connection>(m_context.io, m_link->target.address, ResponseLimits, &m_context.responses);
     m_timer = m_context.timers.start(m_startedAt + ConnectTimeout, [self = shared_from_this()] {
         self->m_timer = 0;
         self->onOpenFailed();
@@ -330,6 +330,15 @@
         m_context.crashes.onConnectionLost(m_link->target.id, *m_options.request, boot_clock::now());
         checkLiveness(m_context, m_link);
     }
+    if (exchanged.hadNoRoom) {
+        m_context.metrics.add("responses_without_room_total");
+        m_context.log.write(event_class::Decision,
+                            event_line("targets", "response_without_room")
+                                .add("target", m_link->target.id)
+                                .add("id", m_options.request->requestId())
+                                .add("held_bytes", static_cast<std::uint64_t>(m_context.responses.used())),
+                            now);
+    }
     m_context.metrics.add(std::string("attempts_total{outcome=\"").append(nameOf(outcome)).append("\"}"));
     m_context.timers.stop(m_timer);
     release(true);
--- a/node/target_link.cpp
+++ b/node/target_link.cpp
@@ -33,7 +33,7 @@
 {
     ++link->connections;
     context.metrics.add("target_connections_opened_total");
-    const auto connection = std::make_shared<target_connection>(context.io, link->target.address, ResponseLimits);
+    const auto connection = std::make_shared<target_connection>(context.io, link->target.address, ResponseLimits, &context.responses);
     const auto timer = std::make_shared<timer_queue::handle>(0);
     const auto finish = [link, connection, done = std::move(done)](connect_outcome outcome) {
         if (outcome == connect_outcome::Open && !link->isRemoved) {
