Answer a pipelining caller only as fast as it reads

What callers could see: a caller that sends requests one after the other and doesn't read made the instance run them all and keep all responses, up to the machine's memory.

Evidence, on the code before: connection_test "a caller that pipelines and doesn't read gets no further responses until it does": all 4,000 requests of 8 KB are answered while nothing is read.

Change: a request is taken up only once the response before it is written.

After: less than half are answered until the caller reads, all 4,000 then, in order.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -122,6 +122,10 @@
     if (m_busy || m_closed || m_hasRespondedLast || m_unparsed.empty()) {
         return;
     }
+    // A caller that doesn't read its responses gets no further ones, which would have to be kept.
+    if (!m_reader.hasStarted() && !m_outgoing.empty()) {
+        return;
+    }
     if (!m_reader.hasStarted()) {
         m_messageStartedAt = clock::now();
         armTimer(m_messageStartedAt + m_settings.headerTimeout);
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <optional>
@@ -388,6 +389,40 @@
     CHECK(received.find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("caller_connection: a caller that pipelines and doesn't read gets no further responses until it does (its responses filled the memory)")
+{
+    constexpr int Requests = 4000;
+    constexpr std::size_t PathBytes = 8000; // The response repeats the path.
+    std::string sent;
+    for (int i = 1; i <= Requests; ++i) {
+        sent += "GET /" + std::string(PathBytes, 'x') + " HTTP/1.1\r\nHost: h\r\n" + (i == Requests ? "Connection: close\r\n\r\n" : "\r\n");
+    }
+    caller_fixture fixture;
+    int requestsWhileUnread = 0;
+    asio::steady_timer pause(fixture.context, std::chrono::milliseconds(700));
+    pause.async_wait([&](const boost::system::error_code &) { requestsWhileUnread = fixture.requests; });
+    std::string received;
+    std::thread client([&] {
+        asio::io_context clientContext;
+        tcp::socket socket(clientContext);
+        socket.connect(fixture.acceptor.local_endpoint());
+        std::thread writer([&] {
+            boost::system::error_code ignored;
+            asio::write(socket, asio::buffer(sent), ignored);
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(900));
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(received), ended);
+        writer.join();
+    });
+    fixture.context.run_for(TestTimeout);
+    client.join();
+    // The sockets may hold some megabytes.
+    CHECK(requestsWhileUnread < Requests / 2);
+    CHECK(fixture.requests == Requests);
+    CHECK(count(received, "HTTP/1.1 200") == Requests);
+}
+
 TEST_CASE("caller_connection: decodes chunked bodies (guards against forwarding chunk framing)")
 {
     caller_fixture fixture;
