Bound the memory of the store's and other instances' responses together

What callers could see: each call to the store or to another instance could take 16 MiB, and up to about a dozen are in flight when the store is slow, more than a machine of 160 MB has.

Evidence, on the code before (the call without the memory, as it was): connection_test "http_connection: responses without end together ...": none of 12 responses of 15 MB ends, with a length or without. With the memory, but watches read as before: catalogue_sync_test "changes too large for one response are read as a list": a watch whose changes have no room fails again and again, 1 target is known instead of 201.

Change: http_connection counts responses in a response_memory of its own, apart from the targets', so that faulty targets don't keep the store's lists out. A response without room is TooLarge; a watch then reads the list, which has pages. The changes of a watch are dropped before the delay after them.

After: both tests pass; http, platform and node tests pass. Counter: store_calls_total{result="too_large"}.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -498,6 +498,47 @@
 
 } // namespace
 
+TEST_CASE("http_connection: responses without end together stay within the memory (the store's or an instance's could take 16 MiB for each call)")
+{
+    constexpr std::size_t Limit = 1024 * 1024;
+    constexpr int Calls = 12;
+    const response_memory memory(Limit);
+    for (const std::string head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n", "HTTP/1.1 200 OK\r\nX: ", ""}) {
+        CAPTURE(head);
+        std::vector<std::unique_ptr<scripted_peer>> peers;
+        for (int i = 0; i < Calls; ++i) {
+            peers.push_back(std::make_unique<scripted_peer>([&head](tcp::socket &socket) {
+                readRequest(socket);
+                const std::string piece(50000, 'x');
+                boost::system::error_code failed;
+                asio::write(socket, asio::buffer(head), failed);
+                for (std::size_t written = 0; !failed && written < 15000000;) {
+                    written += asio::write(socket, asio::buffer(piece), failed);
+                }
+                waitForClose(socket);
+            }));
+        }
+        asio::io_context context;
+        int lost = 0;
+        for (const auto &peer : peers) {
+            asio::co_spawn(
+                context,
+                [&memory, &lost, address = peer->address()]() -> asio::awaitable<void> {
+                    const auto response = co_await fetch(address, {}, http_request(), TestTimeout, &memory);
+                    lost += !response && response.error().code != error_code::Timeout ? 1 : 0;
+                },
+                asio::detached);
+        }
+        std::size_t most = 0;
+        while (context.run_one_for(TestTimeout) > 0) {
+            most = std::max(most, memory.used());
+        }
+        CHECK(lost == Calls);
+        CHECK(most <= Limit + Calls * response_memory::SmallResponseBytes);
+        CHECK(memory.used() == 0);
+    }
+}
+
 TEST_CASE("http_connection: a status that HTTP doesn't have is no response, an interim one isn't the last (the store's 000 counted as success)")
 {
     const std::string rest = " X\r\nContent-Length: 2\r\n\r\n{}";
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -70,6 +70,9 @@
 
 error exchangeError(const boost::system::error_code &failed, error_step step, const std::string &peer)
 {
+    if (failed == beast::http::error::body_limit) {
+        return error{error_code::TooLarge, step, peer, failed.message()};
+    }
     const bool timedOut = failed == beast::error::timeout;
     return error{timedOut ? error_code::Timeout : error_code::Closed, step, peer, timedOut ? "no response within the timeout" : failed.message()};
 }
@@ -94,10 +97,28 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::string peer;
+    const response_memory *memory = nullptr;
     bool hasSentBytes = false;
     bool open = true;
 };
 
+namespace
+{
+
+/// Reads a response, and counts it in the memory while it arrives. The error is body_limit if there is no room for it.
+asio::awaitable<void> readResponse(
+    beast::tcp_stream &stream, beast::flat_buffer &buffer, response_parser &incoming, response_memory::holding *holding, boost::system::error_code &failed)
+{
+    while (!failed && !incoming.is_done()) {
+        co_await beast::http::async_read_some(stream, buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
+        if (!failed && holding != nullptr && !holding->resize(buffer.capacity() + incoming.get().body().capacity())) {
+            failed = beast::http::error::body_limit;
+        }
+    }
+}
+
+} // namespace
+
 http_connection::http_connection(std::unique_ptr<state> inner)
     : m_state(std::move(inner))
 {
@@ -105,7 +126,8 @@
 
 http_connection::~http_connection() = default;
 
-asio::awaitable<result<http_connection::pointer>> http_connection::open(endpoint peer, std::string bindAddress, std::chrono::milliseconds timeout)
+asio::awaitable<result<http_connection::pointer>>
+http_connection::open(endpoint peer, std::string bindAddress, std::chrono::milliseconds timeout, const response_memory *memory)
 {
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     boost::system::error_code failed;
@@ -128,6 +150,7 @@
     setSocketOptions(stream.socket());
     auto inner = std::make_unique<state>(std::move(stream));
     inner->peer = describe(peer);
+    inner->memory = memory;
     co_return pointer(new http_connection(std::move(inner)));
 }
 
@@ -152,7 +175,8 @@
     for (unsigned interim = 0; interim <= MaxInterimResponses; ++interim) {
         response_parser incoming;
         incoming.body_limit(ResponseBodyLimitBytes);
-        co_await beast::http::async_read(m_state->stream, m_state->buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
+        const auto holding = m_state->memory == nullptr ? nullptr : m_state->memory->hold();
+        co_await readResponse(m_state->stream, m_state->buffer, incoming, holding.get(), failed);
         const unsigned status = incoming.get().result_int();
         if (!failed && !isValidStatus(status)) {
             failed = beast::http::error::bad_status;
@@ -197,9 +221,10 @@
     return m_state->peer;
 }
 
-asio::awaitable<result<http_response>> fetch(endpoint peer, std::string bindAddress, http_request request, std::chrono::milliseconds timeout)
+asio::awaitable<result<http_response>>
+fetch(endpoint peer, std::string bindAddress, http_request request, std::chrono::milliseconds timeout, const response_memory *memory)
 {
-    auto connection = co_await http_connection::open(std::move(peer), std::move(bindAddress), timeout);
+    auto connection = co_await http_connection::open(std::move(peer), std::move(bindAddress), timeout, memory);
     if (!connection) {
         co_return connection.error();
     }
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -41,6 +41,12 @@
     return error{error_code::Closed, error_step::Store, {}, "catalogue sync was deactivated or reactivated during the call"};
 }
 
+/// Result of a watch whose changes are too large to be received at once: a list has pages.
+error tooManyChangesError(const error &reason)
+{
+    return error{error_code::NotFound, error_step::Store, reason.peer, "the changes are too large for one response"};
+}
+
 /// Result of a call whose content isn't applied. That a peer's copy has replaced the local one meanwhile is no failure of the store.
 result<void> discardedResult(const copy_progress &progress, copy_progress::call_token call)
 {
@@ -248,12 +254,13 @@
     // After a failure a short watch detects the recovery at once; a long one would return only at the next change.
     const unsigned activation = m_activation;
     const copy_progress::call_token call = kind.progress.beginCall();
-    const auto batch = co_await m_store.watch(kind.kind, kind.progress.revisions().completeThrough, kind.isReachable ? WatchTimeout : ProbeWatchTimeout);
+    auto batch = co_await m_store.watch(kind.kind, kind.progress.revisions().completeThrough, kind.isReachable ? WatchTimeout : ProbeWatchTimeout);
     if (activation != m_activation) {
         co_return inactiveError();
     }
     if (!batch) {
-        co_return batch.error();
+        const bool isTooLarge = batch.error().code == error_code::TooLarge;
+        co_return isTooLarge ? tooManyChangesError(batch.error()) : batch.error();
     }
     if (!kind.progress.acceptChanges(call, batch.value().revision)) {
         co_return discardedResult(kind.progress, call);
@@ -261,7 +268,9 @@
     for (const object_change &change : batch.value().changes) {
         apply(kind.kind, change.object, change.isDeleted);
     }
-    if (!batch.value().changes.empty()) {
+    const bool hasChanges = !batch.value().changes.empty();
+    batch = change_batch{}; // Not kept during the delay.
+    if (hasChanges) {
         co_await sleepFor(m_context.io, ChangeDelay);
     }
     co_return success();
@@ -445,7 +454,7 @@
     request.query["targets"] = std::to_string(m_targetKind.progress.revisions().newest);
     request.query["evacuations"] = std::to_string(m_evacuationKind.progress.revisions().newest);
     const unsigned activation = m_activation;
-    const auto response = co_await fetch(peer, {}, std::move(request), PeerTimeout);
+    const auto response = co_await fetch(peer, {}, std::move(request), PeerTimeout, &m_context.storeResponses);
     constexpr unsigned Ok = 200;
     if (activation != m_activation || !response || response.value().status != Ok) {
         co_return;
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -79,6 +79,13 @@
         return std::make_unique<catalogue_sync>(context, usedStore, std::move(handlers));
     }
 
+    /// Limits the store's responses as on the smallest machine.
+    void limitMemory()
+    {
+        store = std::make_unique<metadata_store>(standin.address(), metrics, &context.storeResponses);
+        sync = makeSync(*store);
+    }
+
     void start()
     {
         sync->setActive(true);
@@ -259,6 +266,27 @@
     }
 }
 
+TEST_CASE(
+    "catalogue_sync: changes too large for one response are read as a list (guards against a watch that fails for ever, and against their bytes in memory)")
+{
+    sync_fixture fixture;
+    fixture.limitMemory();
+    fixture.standin.put("config", "main", configurationSpec(1));
+    fixture.standin.put("servers", "t0", targetSpec("s0"));
+    fixture.start();
+    REQUIRE(fixture.runUntil([&] { return fixture.sync->isReady() && fixture.targets.count("t0") == 1; }));
+    for (int i = 0; i < 200; ++i) {
+        json large = targetSpec("s0");
+        large["Notes"] = std::string(60000, 'x');
+        fixture.standin.put("servers", "u" + std::to_string(i), large);
+    }
+    fixture.standin.put("servers", "v0", targetSpec("s0"));
+    fixture.standin.erase("servers", "t0");
+    CHECK(fixture.runUntil([&] { return fixture.targets.size() == 201 && fixture.targets.count("v0") == 1 && fixture.targets.count("t0") == 0; }, 5s));
+    CHECK(fixture.context.storeResponses.used() < 1024 * 1024);
+    CHECK(fixture.metrics.text().find("result=\"too_large\"") != std::string::npos);
+}
+
 TEST_CASE("catalogue_sync: keeps of an entry only what it needs (entries of another writer could fill an instance's memory, and copies for others)")
 {
     sync_fixture fixture;
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -59,7 +59,7 @@
                 m_metrics,
                 m_settings,
                 retry_budget({m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow}, clock::now())}
-    , m_store(m_settings.store, m_metrics)
+    , m_store(m_settings.store, m_metrics, &m_context.storeResponses)
     , m_pool(m_context)
     , m_reachability(m_context, m_pool)
     , m_callers(m_context, m_pool)
