--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -506,6 +506,7 @@
     for (const std::string head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n", "HTTP/1.1 200 OK\r\nX: ", ""}) {
         CAPTURE(head);
         std::vector<std::unique_ptr<scripted_peer>> peers;
+        peers.reserve(Calls);
         for (int i = 0; i < Calls; ++i) {
             peers.push_back(std::make_unique<scripted_peer>([&head](tcp::socket &socket) {
                 readRequest(socket);
--- a/http/exchange_machine_test.cpp
+++ b/http/exchange_machine_test.cpp
@@ -245,6 +245,7 @@
         CAPTURE(start);
         const response_memory memory(Limit);
         std::vector<std::unique_ptr<exchange_machine>> machines;
+        machines.reserve(Machines);
         std::string piece = start;
         for (std::size_t i = 0; i < Machines; ++i) {
             machines.push_back(std::make_unique<exchange_machine>(message_reader::limits{}, &memory));
--- a/node/response_memory_test.cpp
+++ b/node/response_memory_test.cpp
@@ -184,6 +184,7 @@
         const std::size_t before = residentBytes();
         std::size_t most = before;
         std::vector<std::unique_ptr<single_request>> endless;
+        endless.reserve(Requests);
         for (std::size_t i = 0; i < Requests; ++i) {
             endless.push_back(std::make_unique<single_request>(fixture, "s0", "r" + std::to_string(i)));
         }
