Read on after a response that was written late

What callers saw: a caller that had pipelined a request of more than 64 KB behind a response that it read late got 408 for it after the header timeout.

Cause: reading stops at 64 KB of unparsed bytes. takes a request up only once the response before it is written, which may be after the last read was armed; the request then consumed what was there and nothing read the rest.

Evidence, on the code before: connection_test "a long request behind a response that is read late is read to its end": 1 of 2 requests, 1 of 2 answers.

Change: what takes up pipelined requests after a write also reads on. respond() no longer posts the same a second time: a response that is written at once passes through onWritten(). The two tests with a late reader share their client.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -181,17 +181,23 @@
     }
     if (!m_closeAfter) {
         armTimer(m_idleSince + m_settings.idleTimeout);
-        processPipelined();
         read();
     }
 }
 
 void caller_connection::processPipelined()
 {
-    // From the event loop, to avoid unbounded recursion.
-    if (!m_unparsed.empty()) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->process(); });
+    if (m_unparsed.empty()) {
+        return;
     }
+    // From the event loop, to avoid unbounded recursion.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->process();
+        // Reading may have stopped while the response was being written.
+        if (self->m_unparsed.size() < MaxUnparsedBytes) {
+            self->read();
+        }
+    });
 }
 
 void caller_connection::send(std::string bytes)
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -361,6 +361,28 @@
         return received;
     }
 
+    /// Sends the text from a client that begins to read only after a while; returns all bytes that it received until the connection ended.
+    std::string runLateReader(const std::string &sent)
+    {
+        std::string received;
+        std::thread client([&] {
+            asio::io_context clientContext;
+            tcp::socket socket(clientContext);
+            socket.connect(acceptor.local_endpoint());
+            std::thread writer([&] {
+                boost::system::error_code ignored;
+                asio::write(socket, asio::buffer(sent), ignored);
+            });
+            std::this_thread::sleep_for(std::chrono::milliseconds(900));
+            boost::system::error_code ended;
+            asio::read(socket, asio::dynamic_buffer(received), ended);
+            writer.join();
+        });
+        context.run_for(TestTimeout);
+        client.join();
+        return received;
+    }
+
     asio::io_context context;
     timer_queue timers;
     tcp::acceptor acceptor;
@@ -401,28 +423,25 @@
     int requestsWhileUnread = 0;
     asio::steady_timer pause(fixture.context, std::chrono::milliseconds(700));
     pause.async_wait([&](const boost::system::error_code &) { requestsWhileUnread = fixture.requests; });
-    std::string received;
-    std::thread client([&] {
-        asio::io_context clientContext;
-        tcp::socket socket(clientContext);
-        socket.connect(fixture.acceptor.local_endpoint());
-        std::thread writer([&] {
-            boost::system::error_code ignored;
-            asio::write(socket, asio::buffer(sent), ignored);
-        });
-        std::this_thread::sleep_for(std::chrono::milliseconds(900));
-        boost::system::error_code ended;
-        asio::read(socket, asio::dynamic_buffer(received), ended);
-        writer.join();
-    });
-    fixture.context.run_for(TestTimeout);
-    client.join();
+    const std::string received = fixture.runLateReader(sent);
     // The sockets may hold some megabytes.
     CHECK(requestsWhileUnread < Requests / 2);
     CHECK(fixture.requests == Requests);
     CHECK(count(received, "HTTP/1.1 200") == Requests);
 }
 
+TEST_CASE("caller_connection: a long request behind a response that is read late is read to its end (it got 408 as reading was not resumed)")
+{
+    const auto post = [](const std::string &path, std::size_t bytes, const std::string &fields) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
+    };
+    const std::string sent = post("/1/", 12000000, "") + post("/2/", 300000, "Connection: close\r\n");
+    caller_fixture fixture;
+    const std::string received = fixture.runLateReader(sent);
+    CHECK(fixture.requests == 2);
+    CHECK(count(received, "HTTP/1.1 200") == 2);
+}
+
 TEST_CASE("caller_connection: decodes chunked bodies (guards against forwarding chunk framing)")
 {
     caller_fixture fixture;
