Let hedges of single requests leave a place for the next request

A hedge took the last place as readily as any other. Evidence: the new test, refused as full (outcome 4) without the change: five long requests on two targets of four connections each, then a short one. Change: a hedge of a single request is sent only if the service's targets have room for it and one more request from this instance, and waits 30 ms otherwise. Queries hedge as before.

--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -11,6 +11,8 @@
 /// A request waits for a target for at most its objective divided by this. A refusal then leaves the caller time for a retry within the objective.
 constexpr int ReplicaWaitDivisor = 5;
 constexpr std::chrono::milliseconds MinRetryAfter{30};
+/// Interval at which a hedge that finds no room is tried again.
+constexpr std::chrono::milliseconds HedgePollInterval{30};
 
 } // namespace
 
@@ -62,6 +64,11 @@
 void forward_request::trySend(bool isHedge, clock::time_point now)
 {
     m_retryAt = clock::time_point::max();
+    // A hedge in the last place would have the next request refused for want of room.
+    if (isHedge && !m_pool.hasRoomFor(2, m_service, now)) {
+        m_hedgeAt = now + HedgePollInterval;
+        return;
+    }
     const auto links = m_pool.usable(m_service);
     const replica_decision decision = chooseReplica(m_pool.views(links, m_attempted, isHedge, now), m_statistics.latency.median(), now, m_context.draw());
     if (!decision.chosen) {
--- a/node/request_test.cpp
+++ b/node/request_test.cpp
@@ -520,6 +520,34 @@
     CHECK(fixture.context.crashes.recentCrashes(boot_clock::now()).empty());
 }
 
+TEST_CASE("forward_request: hedges leave a place for the next request (short requests were refused as full while hedges of long ones held the last places)")
+{
+    node_fixture fixture;
+    const auto respondUnlessLong = [](const fake_target::pointer &connection, const http_message &request) {
+        if (request.find("Request-Id")->substr(0, 4) != "long") {
+            respondSigned(connection, request, "sig", "body");
+        }
+    };
+    fake_target first(fixture.io, fixture.timers, "t0", respondUnlessLong);
+    fake_target second(fixture.io, fixture.timers, "t1", respondUnlessLong);
+    fixture.add(first.registration("s0"));
+    fixture.add(second.registration("s0"));
+    // Each target gets four connections at most.
+    constexpr int LongRequests = 5;
+    std::vector<std::unique_ptr<simulated_request>> running;
+    running.reserve(LongRequests);
+    for (int i = 0; i < LongRequests; ++i) {
+        running.push_back(
+            std::make_unique<simulated_request>(fixture, forwardRoute(repeat_rule::Idempotent), requestMessage("GET", "long" + std::to_string(i))));
+        running.back()->start();
+    }
+    fixture.runFor(250ms);
+    CHECK(first.received.size() + second.received.size() > LongRequests);
+    simulated_request next(fixture, forwardRoute(repeat_rule::Idempotent));
+    next.run();
+    CHECK(next.outcome == request_outcome::Complete);
+}
+
 TEST_CASE("forward_request: retries on another target when one did not run the request (guards against refusals while other targets are free)")
 {
     for (const unsigned status : {503U, 421U, 429U}) {
--- a/node/target_pool.cpp
+++ b/node/target_pool.cpp
@@ -251,6 +251,27 @@
     m_senders = std::move(senders);
 }
 
+unsigned target_pool::room(const target_link &link, unsigned most, steady::time_point now) const
+{
+    const auto isBackedOff = link.connections > 0 && now < link.connectBackoffUntil;
+    const unsigned limit = isBackedOff ? link.connections : std::max(1U, connectionLimit(link, now));
+    const auto idle = static_cast<unsigned>(link.idle.size());
+    unsigned requests = std::min(most, idle + (limit > link.connections ? limit - link.connections : 0));
+    while (requests > 0 && !link.health.hasCapacityFor(requests, now)) {
+        --requests;
+    }
+    return requests;
+}
+
+bool target_pool::hasRoomFor(unsigned requests, const std::string &service, steady::time_point now) const
+{
+    unsigned found = 0;
+    for (const target_link_ptr &link : usable(service)) {
+        found += link->health.isAvailable(now) ? room(*link, requests, now) : 0;
+    }
+    return found >= requests;
+}
+
 replica_view target_pool::view(target_link &link, steady::time_point now) const
 {
     replica_view replica;
--- a/node/target_pool.h
+++ b/node/target_pool.h
@@ -39,6 +39,9 @@
     /// Returns the targets of a service that are ready and not in an evacuated data centre.
     std::vector<target_link_ptr> usable(const std::string &service) const;
 
+    /// True when the service's targets together may get at least this many more requests at once, within the limits of requests in flight and connections.
+    bool hasRoomFor(unsigned requests, const std::string &service, std::chrono::steady_clock::time_point now) const;
+
     /// True when a usable target of the service, in a reachable data centre, is available now or before the given time, and its request limit permits a
     /// request of this instance by then.
     bool hasAvailable(const std::string &service, std::chrono::steady_clock::time_point now, std::chrono::steady_clock::time_point before) const;
@@ -81,6 +84,7 @@
 
 private:
     void setRoom(target_link &link) const;
+    unsigned room(const target_link &link, unsigned most, std::chrono::steady_clock::time_point now) const;
     unsigned connectionLimit(const target_link &link, std::chrono::steady_clock::time_point now) const;
     std::chrono::milliseconds warmupLeft(const target_link &link, std::chrono::steady_clock::time_point now) const;
     double coldStartRate(const target_link &link, std::chrono::steady_clock::time_point now) const;
--- a/routing/target_health.cpp
+++ b/routing/target_health.cpp
@@ -1,5 +1,7 @@
 #include "routing/target_health.h"
 
+#include "base/assert.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -67,7 +69,13 @@
 
 bool target_health::hasCapacity(clock::time_point now) const
 {
-    return m_limit.permits(m_sent.size(), now);
+    return hasCapacityFor(1, now);
+}
+
+bool target_health::hasCapacityFor(unsigned requests, clock::time_point now) const
+{
+    BALSAM_ASSERT(requests >= 1);
+    return m_limit.permits(m_sent.size() + requests - 1, now);
 }
 
 void target_health::onRefused(clock::time_point sentAt, clock::time_point now)
--- a/routing/target_health.h
+++ b/routing/target_health.h
@@ -67,6 +67,9 @@
     /// is gone if their queues were kept full.
     bool hasCapacity(clock::time_point now) const;
 
+    /// True when this many more requests may be in flight. Precondition: requests is at least 1.
+    bool hasCapacityFor(unsigned requests, clock::time_point now) const;
+
 private:
     void removeInFlight(clock::time_point sentAt);
     void backOff(clock::time_point now);
