--- a/programs/balsamhook_test.cpp
+++ b/programs/balsamhook_test.cpp
@@ -1,21 +1,17 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
-#include <array>
+#include "programs/process_test_support.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <csignal>
-#include <cstdio>
-#include <fcntl.h>
-#include <fstream>
-#include <functional>
-#include <optional>
 #include <string>
 #include <sys/wait.h>
 #include <thread>
-#include <unistd.h>
 
+using namespace balsamhook;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
@@ -24,19 +20,6 @@
 
 constexpr const char *Address = "127.80.0.1";
 constexpr std::uint16_t CallerPort = 18304;
-constexpr std::chrono::milliseconds PollInterval{10};
-
-bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
-{
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end) {
-            return false;
-        }
-        std::this_thread::sleep_for(PollInterval);
-    }
-    return true;
-}
 
 /// Settings of an instance whose store doesn't run.
 std::string validSettings()
@@ -47,100 +30,6 @@
         + "18300\nInternalPorts=18380,18395\nplatform.Address" + at + "18302\nBounds.GraceS=1.5\n";
 }
 
-/// The program as a process of its own, with its log in a pipe.
-class process
-{
-public:
-    process()
-        : m_settingsFile("/tmp/balsamhook-test-" + std::to_string(getpid()) + ".conf")
-    {
-    }
-
-    ~process()
-    {
-        if (m_child > 0 && !exitStatus()) {
-            kill(m_child, SIGKILL);
-            waitpid(m_child, nullptr, 0);
-        }
-        closeLog();
-        std::remove(m_settingsFile.c_str());
-    }
-
-    void writeSettings(const std::string &text) const
-    {
-        std::ofstream(m_settingsFile) << text;
-    }
-
-    void start()
-    {
-        std::array<int, 2> ends{};
-        REQUIRE(pipe(ends.data()) == 0);
-        m_child = fork();
-        REQUIRE(m_child >= 0);
-        if (m_child == 0) {
-            dup2(ends[1], STDOUT_FILENO);
-            // Sockets of the test would stay open in the child.
-            constexpr int FirstUnusedDescriptor = 3;
-            constexpr int MaxDescriptors = 256;
-            for (int i = FirstUnusedDescriptor; i < MaxDescriptors; ++i) {
-                close(i);
-            }
-            setenv("BALSAMHOOK_BOOT", m_settingsFile.c_str(), 1);
-            execl(BALSAMHOOK_PROGRAM, BALSAMHOOK_PROGRAM, nullptr);
-            _exit(127);
-        }
-        close(ends[1]);
-        m_log = ends[0];
-        fcntl(m_log, F_SETFL, O_NONBLOCK);
-    }
-
-    void closeLog()
-    {
-        if (m_log >= 0) {
-            close(m_log);
-        }
-        m_log = -1;
-    }
-
-    void signal(int number) const
-    {
-        kill(m_child, number);
-    }
-
-    /// Returns the status of waitpid(); empty while the process runs.
-    std::optional<int> exitStatus()
-    {
-        if (!m_status) {
-            int status = 0;
-            if (waitpid(m_child, &status, WNOHANG) == m_child) {
-                m_status = status;
-            }
-        }
-        return m_status;
-    }
-
-    bool hasLogged(const std::string &text)
-    {
-        std::array<char, 4096> buffer{};
-        for (ssize_t size = 0; m_log >= 0 && (size = read(m_log, buffer.data(), buffer.size())) > 0;) {
-            m_text.append(buffer.data(), static_cast<std::size_t>(size));
-        }
-        return m_text.find(text) != std::string::npos;
-    }
-
-    bool waitForLog(const std::string &text)
-    {
-        return waitUntil([&] { return hasLogged(text) || exitStatus().has_value(); }, 5s) && hasLogged(text);
-    }
-
-private:
-    std::string m_settingsFile;
-    pid_t m_child = -1;
-    int m_log = -1;
-    std::optional<int> m_status;
-    std::string m_text;
-};
-
 } // namespace
 
 TEST_CASE("balsamhook: runs on when the reader of its log is gone (the process was ended by SIGPIPE)")
