Tests with whole bodies to queries, and of clients that leave

Two more crowds of the issue's class. The message of a test also says how much was received and not read.

--- a/programs/client_crowd.h
+++ b/programs/client_crowd.h
@@ -25,6 +25,7 @@
     std::size_t repeatedBytes = 0;
     std::chrono::milliseconds pause{0}; ///< Between two pieces that are sent.
     bool isReading = false; ///< Reads slowly; otherwise never.
+    bool isLeaving = false; ///< Closes the connection once all is sent.
 };
 
 /// Clients that don't behave, on loopback sockets in a thread of their own, until the crowd is destroyed.
@@ -135,7 +136,11 @@
     void write(const client_pointer &opened)
     {
         if (opened->written >= opened->behaviour->repeatedBytes) {
-            waitForEnd(opened);
+            if (opened->behaviour->isLeaving) {
+                end(opened);
+            } else {
+                waitForEnd(opened);
+            }
             return;
         }
         boost::asio::async_write(opened->socket, boost::asio::buffer(opened->piece), [this, opened](const error &closed, std::size_t size) {
--- a/programs/clients_test.cpp
+++ b/programs/clients_test.cpp
@@ -57,7 +57,8 @@
     return text.str();
 }
 
-/// The store and one target for each service, in a thread of their own. The last segment of a request's path is the size of the body of the response.
+/// The store and one target for each service, in a thread of their own. The last segment of a request's path is the size of the body of the response; the
+/// target of one service never responds.
 class standin_services
 {
 public:
@@ -69,6 +70,7 @@
         REQUIRE(m_store.listen({Address, StorePort}).has_value());
         m_store.put("config", "main", configuration());
         add("whole");
+        add("hanging");
         for (std::size_t i = 0; i < Shards; ++i) {
             add("part" + std::to_string(i));
         }
@@ -93,13 +95,15 @@
         whole.update({{"Name", "whole"}, {"PathPrefix", "/whole/"}, {"Service", "whole"}});
         json merged = base;
         merged.update({{"Name", "merged"}, {"PathPrefix", "/merged/"}, {"TopK", MergedBytes / RecordBytes}, {"MinCoverage", 1.0}});
-        json services = json::array({service("whole")});
+        json hanging = base;
+        hanging.update({{"Name", "hanging"}, {"PathPrefix", "/hanging/"}, {"RouteType", "non_idempotent"}, {"Service", "hanging"}});
+        json services = json::array({service("whole"), service("hanging")});
         for (std::size_t i = 0; i < Shards; ++i) {
             merged["Gather"].push_back("part" + std::to_string(i));
             services.push_back(service("part" + std::to_string(i)));
         }
         const json limits{{"MaxHeaderBytes", MaxHeaderBytes}, {"MaxBodyBytes", Megabyte}, {"HeaderTimeoutMs", 4000}, {"IdleTimeoutMs", 30000}};
-        json routes = json::array({whole, merged});
+        json routes = json::array({whole, merged, hanging});
         for (std::size_t i = 0; i < OtherRoutes; ++i) {
             json other = whole;
             other.update({{"Name", "other" + std::to_string(i)}, {"PathPrefix", "/other" + std::to_string(i) + "/"}});
@@ -150,6 +154,9 @@
 
     static void respond(const caller_connection::pointer &connection, const http_message &request)
     {
+        if (request.target.rfind("/hanging/", 0) == 0) {
+            return;
+        }
         const std::string *id = request.find("Request-Id");
         const std::string *target = request.find("Expected-Instance");
         caller_response response;
@@ -237,16 +244,18 @@
     {
         const client_crowd crowd(Address, behaviours);
         std::size_t mostMemory = 0;
+        std::size_t mostUnread = 0;
         std::size_t mostDescriptors = 0;
         const bool hasEnded = waitUntil(
             [&] {
                 mostMemory = std::max(mostMemory, memoryOf(m_process.id()));
+                mostUnread = std::max(mostUnread, unreadBytes());
                 mostDescriptors = std::max(mostDescriptors, descriptorsOf(m_process.id()));
                 return m_process.exitStatus().has_value();
             },
             CrowdTime);
         CHECK_FALSE(hasEnded);
-        MESSAGE("most memory " << mostMemory / 1024 << " kB, most descriptors " << mostDescriptors);
+        MESSAGE("most memory " << mostMemory / 1024 << " kB, most unread " << mostUnread / 1024 << " kB, most descriptors " << mostDescriptors);
         CHECK(mostMemory < MachineBytes);
         CHECK(mostDescriptors <= m_descriptors - ReservedDescriptors);
         checkOrdinaryClients(ordinaryBytes);
@@ -413,6 +422,23 @@
         fixture.check({{CallerPort, 2 * ManyClients, "GET /whole/10 HTTP/1.1\r\nHost: h\r\na: ", "x", 16 * Megabyte}});
     }
 
+    TEST_CASE("whole_bodies_to_queries")
+    {
+        instance_fixture fixture;
+        const std::string head = post("/merged/16", "Content-Length: " + std::to_string(BodyBytes) + "\r\n");
+        fixture.check({{CallerPort, Clients, head, std::string(BodyBytes, 'x'), BodyBytes}});
+    }
+
+    TEST_CASE("bodies_of_clients_that_leave")
+    {
+        instance_fixture fixture;
+        client_behaviour leaving{CallerPort, Clients, post("/hanging/10", "Content-Length: " + std::to_string(BodyBytes) + "\r\n")};
+        leaving.repeated = std::string(BodyBytes, 'x');
+        leaving.repeatedBytes = BodyBytes;
+        leaving.isLeaving = true;
+        fixture.check({leaving});
+    }
+
     TEST_CASE("pipelining_without_reading")
     {
         instance_fixture fixture;
