Share the body of a request among the connections that send it

Callers saw: a process runs out of memory when queries come with bodies. Cause: the request was serialized whole for each target, and a connection to a target kept it after it had been written, until its next request. A query over n shards held its body n times, idle connections included. Change: a body over 4 KB is one shared string that the connections write from; what a connection holds is dropped when it is written.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -101,7 +101,7 @@
         std::optional<exchange_result> result;
         connection->open([&](bool isOpen) {
             REQUIRE(isOpen);
-            connection->exchange(Request, "mine", true, [&](exchange_result finished) {
+            connection->exchange({Request, nullptr}, "mine", true, [&](exchange_result finished) {
                 result = std::move(finished);
                 context.stop();
             });
--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -90,7 +90,7 @@
     m_closeHandler = std::move(handler);
 }
 
-void target_connection::exchange(std::string request, std::string requestId, bool expectsBody, exchange_handler done)
+void target_connection::exchange(serialized_request request, std::string requestId, bool expectsBody, exchange_handler done)
 {
     BALSAM_ASSERT(m_open && !m_closed && !m_exchangeHandler);
     m_exchangeHandler = std::move(done);
@@ -98,7 +98,7 @@
     m_written = 0;
     m_machine.begin(std::move(requestId), expectsBody);
     boost::system::error_code failed;
-    const std::size_t size = m_socket.write_some(asio::buffer(m_outgoing), failed);
+    const std::size_t size = m_socket.write_some(remainingBuffers(), failed);
     if (failed && failed != asio::error::would_block) {
         // Posted to the event loop, so that the handler is never called from within exchange().
         asio::post(m_socket.get_executor(), [self = shared_from_this(), failed] {
@@ -117,14 +117,21 @@
     if (m_written < m_outgoing.size()) {
         writeRemaining();
     } else {
+        m_outgoing = {};
         m_machine.onRequestWritten();
     }
 }
 
+std::array<asio::const_buffer, 2> target_connection::remainingBuffers() const
+{
+    const std::size_t writtenOfBody = m_written > m_outgoing.head.size() ? m_written - m_outgoing.head.size() : 0;
+    const asio::const_buffer body = m_outgoing.body ? asio::buffer(*m_outgoing.body) : asio::const_buffer();
+    return {asio::buffer(m_outgoing.head) + m_written, body + writtenOfBody};
+}
+
 void target_connection::writeRemaining()
 {
-    const auto remaining = asio::buffer(m_outgoing) + m_written;
-    m_socket.async_write_some(remaining, [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
+    m_socket.async_write_some(remainingBuffers(), [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
         if (self->m_closed || !self->m_exchangeHandler) {
             return;
         }
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -16,6 +16,18 @@
 namespace balsamhook
 {
 
+/// Request as it is sent, in one or two parts. A large body is shared by all connections that send it.
+struct serialized_request
+{
+    std::string head; ///< May contain the body.
+    std::shared_ptr<const std::string> body; ///< Sent after head; may be empty.
+
+    std::size_t size() const
+    {
+        return head.size() + (body ? body->size() : 0);
+    }
+};
+
 /// Connection to a target that carries one request at a time; exchange_machine decides which bytes are its response and whether the connection is reused.
 /// Not thread-safe.
 class target_connection : public std::enable_shared_from_this<target_connection>
@@ -35,9 +47,9 @@
     /// Sets the handler that is called once when the connection ends while idle, other than by close().
     void onIdleClose(close_handler handler);
 
-    /// Sends a serialized request and calls the handler once from the event loop, unless close() is called first. expectsBody is false for HEAD.
+    /// Sends a request and calls the handler once from the event loop, unless close() is called first. expectsBody is false for HEAD.
     /// Preconditions: isReusable(), and no request with this id was sent on this connection before.
-    void exchange(std::string request, std::string requestId, bool expectsBody, exchange_handler done);
+    void exchange(serialized_request request, std::string requestId, bool expectsBody, exchange_handler done);
 
     /// Closes the connection without calling handlers. Idempotent.
     void close();
@@ -55,6 +67,7 @@
     void read();
     void onRead(const boost::system::error_code &failed, std::size_t size);
     void writeRemaining();
+    std::array<boost::asio::const_buffer, 2> remainingBuffers() const;
     void onWritten(std::size_t size);
     void onConnectionError(const boost::system::error_code &failed);
     void finish(exchange_result result);
@@ -68,7 +81,7 @@
     open_handler m_openHandler;
     exchange_handler m_exchangeHandler;
     close_handler m_closeHandler;
-    std::string m_outgoing;
+    serialized_request m_outgoing; ///< Until it is written.
     std::size_t m_written = 0;
     bool m_open = false;
     bool m_closed = false;
--- a/node/outgoing_request.cpp
+++ b/node/outgoing_request.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// A larger body is shared by the connections that send it.
+constexpr std::size_t MaxCopiedBodyBytes = 4 * 1024;
+
 /// True for headers that aren't forwarded: those that this instance sets or handles itself, and hop-by-hop headers of the caller's connection.
 bool isDropped(const header_field &field, const std::string *connectionOptions)
 {
@@ -26,7 +29,7 @@
 } // namespace
 
 outgoing_request::outgoing_request(const http_message &request)
-    : m_body(request.body)
+    : m_body(std::make_shared<const std::string>(request.body))
     , m_expectsBody(request.method != "HEAD")
 {
     const std::string *id = request.find(platform_header::RequestId);
@@ -41,22 +44,28 @@
             m_head.append(field.name).append(": ").append(field.value).append("\r\n");
         }
     }
-    const bool hasBody = !m_body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    const bool hasBody = !m_body->empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
     if (hasBody) {
-        m_head.append("Content-Length: ").append(std::to_string(m_body.size())).append("\r\n");
+        m_head.append("Content-Length: ").append(std::to_string(m_body->size())).append("\r\n");
     }
 }
 
-std::string outgoing_request::bytes(std::string_view targetId, std::chrono::milliseconds timeLeft) const
+serialized_request outgoing_request::serialize(std::string_view targetId, std::chrono::milliseconds timeLeft) const
 {
+    constexpr std::size_t OwnHeaderBytes = 96;
     const std::int64_t left = std::max<std::int64_t>(1, timeLeft.count());
-    std::string text;
-    text.reserve(m_head.size() + m_body.size() + 96);
-    text.append(m_head);
-    text.append(platform_header::Deadline).append(": ").append(std::to_string(left)).append("\r\n");
-    text.append(platform_header::ExpectedTarget).append(": ").append(targetId).append("\r\n\r\n");
-    text.append(m_body);
-    return text;
+    const bool isBodyShared = m_body->size() > MaxCopiedBodyBytes;
+    serialized_request request;
+    request.head.reserve(m_head.size() + OwnHeaderBytes + (isBodyShared ? 0 : m_body->size()));
+    request.head.append(m_head);
+    request.head.append(platform_header::Deadline).append(": ").append(std::to_string(left)).append("\r\n");
+    request.head.append(platform_header::ExpectedTarget).append(": ").append(targetId).append("\r\n\r\n");
+    if (isBodyShared) {
+        request.body = m_body;
+    } else {
+        request.head.append(*m_body);
+    }
+    return request;
 }
 
 const std::string &outgoing_request::requestId() const
@@ -66,7 +75,7 @@
 
 std::uint64_t outgoing_request::fingerprint() const
 {
-    return stableHash(m_body, stableHash(m_identity));
+    return stableHash(*m_body, stableHash(m_identity));
 }
 
 bool outgoing_request::expectsBody() const
--- a/node/outgoing_request.h
+++ b/node/outgoing_request.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -17,8 +18,8 @@
     /// Precondition: the request has a Request-Id header.
     explicit outgoing_request(const http_message &request);
 
-    /// Returns the serialized request for one target. The time left is sent in the Deadline-Ms header, at least 1 ms.
-    std::string bytes(std::string_view targetId, std::chrono::milliseconds timeLeft) const;
+    /// Returns the request for one target. The time left is sent in the Deadline-Ms header, at least 1 ms.
+    serialized_request serialize(std::string_view targetId, std::chrono::milliseconds timeLeft) const;
 
     const std::string &requestId() const;
 
@@ -30,7 +31,7 @@
 
 private:
     std::string m_head; ///< Request line and common headers, each terminated by CRLF.
-    std::string m_body;
+    std::shared_ptr<const std::string> m_body;
     std::string m_requestId;
     std::string m_identity; ///< Method, host and request target.
     bool m_expectsBody = true;
--- a/node/target_attempt.cpp
+++ b/node/target_attempt.cpp
@@ -192,7 +192,7 @@
     m_wasSent = true;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.deadline - steady::now());
     const outgoing_request &request = *m_options.request;
-    m_connection->exchange(request.bytes(m_link->target.id, left),
+    m_connection->exchange(request.serialize(m_link->target.id, left),
                            request.requestId(),
                            request.expectsBody(),
                            [self = shared_from_this()](exchange_result exchanged) { self->onExchanged(std::move(exchanged)); });
