Count the memory of merged records, and keep them in 16 bytes each

Callers saw: a process runs out of memory under queries with large answers. Cause: the records of a running query weren't counted in the memory for responses, only the parts while they arrived; and a record of 16 bytes, kept as a string, took 64, up to twice as many records as the answer has. Change: records are arrays of 16 bytes, and count with the targets' responses. A query that finds no room ends with 502 (parts have run; merges_without_room_total).

--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -13,6 +13,7 @@
 /// Signatures in one header line; callers may limit the length of a line.
 constexpr std::size_t SignaturesPerHeader = 40;
 constexpr std::chrono::milliseconds MinRetryAfter{50};
+constexpr unsigned BadGateway = 502;
 /// A query with this many lost attempts and no part is suspected of crashing every target that runs it.
 constexpr std::size_t SuspectLostAttempts = 3;
 /// Lost extra sends of a suspected query after which its held shards are given up.
@@ -28,6 +29,7 @@
     , m_request(std::move(request))
     , m_responseHandler(std::move(responseHandler))
     , m_records(std::get<gather_destination>(m_request.matched->destination).recordCount)
+    , m_recordsMemory(context.responses.hold())
 {
     BALSAM_ASSERT(std::holds_alternative<gather_destination>(m_request.matched->destination));
 }
@@ -233,6 +235,10 @@
     m_signatures.push_back(*result.response.find(platform_header::Signature));
     m_records.add(result.response.body);
     abandonAttempts(shard, false);
+    if (!m_recordsMemory->resize(m_records.heldBytes())) {
+        m_context.metrics.add("merges_without_room_total");
+        finish(request_outcome::Lost, localResponse(BadGateway, "no memory for the merged response"));
+    }
 }
 
 void gather_request::retryShard(std::size_t index, const attempt_result &result, clock::time_point now)
@@ -414,7 +420,6 @@
 
 void gather_request::respondWithFailure(clock::time_point now)
 {
-    constexpr unsigned BadGateway = 502;
     constexpr unsigned GatewayTimeout = 504;
     const bool isInFlight = std::any_of(m_shards.begin(), m_shards.end(), [](const shard_state &shard) {
         return std::any_of(shard.attempts.begin(), shard.attempts.end(), [](const target_attempt_ptr &attempt) { return attempt->wasSent(); });
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -83,6 +83,7 @@
     std::vector<shard_state> m_shards;
     std::vector<std::string> m_signatures; ///< One for each received part.
     record_merge m_records;
+    response_memory::holding_pointer m_recordsMemory; ///< Of m_records.
     timer_queue::handle m_timer = 0;
     clock::time_point m_timerDue = clock::time_point::max();
     std::size_t m_lostAttempts = 0; ///< Attempts that ended without a response.
--- a/node/record_merge.h
+++ b/node/record_merge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -21,6 +22,9 @@
     /// Adds the records of a part; a remainder shorter than a record is ignored.
     void add(std::string_view part);
 
+    /// Memory that the records take, in bytes.
+    std::size_t heldBytes() const;
+
     /// Returns the greatest records, greatest first. Precondition: no other call follows.
     std::string greatest();
 
@@ -28,8 +32,10 @@
     /// Sorts the greatest records to the front and drops the others.
     void prune();
 
+    using record = std::array<unsigned char, RecordBytes>;
+
     std::size_t m_count;
-    std::vector<std::string> m_records; ///< At most twice the count and some more, so that a part without end isn't kept.
+    std::vector<record> m_records; ///< At most twice the count and some more, so that a part without end isn't kept.
 };
 
 } // namespace balsamhook
