Count what callers' connections hold in one account, and evict those that hold most and longest

Beside many idle connections no ordinary caller got in. Cause: each connection had limits of its own, which together took many times the machine: up to 64 KB of pipelined bytes, the largest header and body, a response that waits for its reader (with a copy of it), and what the kernel receives meanwhile, some megabytes each. The number of connections was limited without choice: who came first stayed. In caller_connection's tests: a long answer that was read slowly was cut at the idle timeout (9.8 of 12 MB), an answer with Connection: close that nobody read had no timeout (closed by the kernel after 2.8 s), a line of a header over 64 KB got 408 though the limit allowed it. Change: http/connection_account, decided without a network. A third of the machine's memory is for connections; each counts its object and receive buffer (24 KB), bytes not parsed, the request, and the response until it is sent. When memory or connections run short, the connection with the largest product of what it holds and for how long it has held it is evicted; trickling makes none younger; one with a request in flight stays. A request that finds no room is refused with 503 and Retry-After: it was not run. Bodies of requests in flight count until the last attempt is over, and take half of the account at most. Receive buffers are 8 KB from the first byte on, 64 KB while a large request arrives. Responses are moved to the connection, no longer copied. A timeout of a response counts from the last byte that the caller took. Limits of connections: as before where a machine has 4,000 descriptors or more (3,100 of 4,100); below, 200 for files and a fifth for targets are left out, where 64 connections were let in.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -16,10 +16,19 @@
 namespace
 {
 
-/// Reading stops at this size; the rest of a larger pipelined request stays in the socket buffer until the previous response is sent.
+/// Reading stops at this size, or at that of the largest header: a longer line can't belong to a request that is accepted.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+/// Reading stops at this size until the previous response is sent; the rest of a pipelined request stays in the socket buffer.
+constexpr std::size_t MaxPipelinedBytes = 16 * 1024;
 /// Time for the caller to read the last response before the socket is closed.
 constexpr std::chrono::milliseconds LingerTimeout{500};
+/// A larger body is not copied behind the header.
+constexpr std::size_t MaxCopiedBodyBytes = 16 * 1024;
+/// Receive buffer while a large request arrives, and send buffer, of connections of an account, in the bytes asked of the kernel.
+constexpr int LargeReceiveBufferBytes = 64 * 1024;
+constexpr int SendBufferBytes = 64 * 1024;
+/// Retry-After of a request for which there is no memory.
+constexpr const char *NoRoomRetryAfterSeconds = "1";
 
 unsigned statusOf(const boost::system::error_code &failed)
 {
@@ -32,10 +41,12 @@
     return failed == http::error::header_limit ? HeaderTooLarge : BadRequest;
 }
 
+/// Returns the header, and the body behind it if that is small.
 std::string serialize(const caller_response &response, bool closeAfter)
 {
+    constexpr std::size_t HeaderBytes = 256;
     std::string bytes;
-    bytes.reserve(256 + response.body.size());
+    bytes.reserve(HeaderBytes + std::min(response.body.size(), MaxCopiedBodyBytes));
     bytes.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ").append(reasonPhrase(response.status)).append("\r\n");
     for (const header_field &field : response.fields) {
         bytes.append(field.name).append(": ").append(field.value).append("\r\n");
@@ -49,7 +60,7 @@
         bytes.append("Connection: close\r\n");
     }
     bytes.append("\r\n");
-    if (!response.omitsBody) {
+    if (!response.omitsBody && response.body.size() <= MaxCopiedBodyBytes) {
         bytes.append(response.body);
     }
     return bytes;
@@ -63,12 +74,14 @@
     return {phrase.data(), phrase.size()};
 }
 
-caller_connection::caller_connection(asio::ip::tcp::socket socket, timer_queue &timers, settings values, handlers callbacks)
+caller_connection::caller_connection(
+    asio::ip::tcp::socket socket, timer_queue &timers, settings values, handlers callbacks, connection_account::entry_pointer entry)
     : m_socket(std::move(socket))
     , m_timers(timers)
     , m_settings(values)
     , m_handlers(std::move(callbacks))
     , m_reader(message_kind::Request, values.limits)
+    , m_entry(std::move(entry))
     , m_idleSince(clock::now())
 {
 }
@@ -78,6 +91,14 @@
     setSocketOptions(m_socket);
     boost::system::error_code ignored;
     m_socket.non_blocking(true, ignored);
+    if (m_entry) {
+        m_socket.set_option(asio::socket_base::send_buffer_size(SendBufferBytes), ignored);
+        m_entry->onEvicted([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                asio::post(self->m_socket.get_executor(), [self] { self->close(); });
+            }
+        });
+    }
     armTimer(m_idleSince + m_settings.idleTimeout);
     read();
 }
@@ -112,11 +133,63 @@
     }
     m_unparsed.append(m_buffer.data(), size);
     process();
-    if (m_unparsed.size() < MaxUnparsedBytes) {
+    if (m_closed) {
+        return;
+    }
+    if (!updateAccount() && !m_busy) {
+        rejectForRoom();
+        return;
+    }
+    if (mayRead()) {
         read();
     }
 }
 
+bool caller_connection::mayRead() const
+{
+    const bool isResponsePending = m_busy || !m_outgoing.empty();
+    const std::size_t limit = isResponsePending ? MaxPipelinedBytes : std::max(MaxUnparsedBytes, m_settings.limits.headerBytes);
+    return m_unparsed.size() < limit;
+}
+
+std::size_t caller_connection::heldBytes() const
+{
+    const std::size_t receiveBuffer = m_hasLargeReceiveBuffer ? 2 * static_cast<std::size_t>(LargeReceiveBufferBytes) : 0;
+    return connection_account::ConnectionBytes + receiveBuffer + m_unparsed.capacity() + m_reader.heldBytes() + m_outgoing.capacity()
+        + m_outgoingBody.capacity();
+}
+
+bool caller_connection::updateAccount()
+{
+    return !m_entry || m_entry->resize(heldBytes());
+}
+
+void caller_connection::setReceiveBuffer(bool isLarge)
+{
+    if (!m_entry || m_hasLargeReceiveBuffer == isLarge) {
+        return;
+    }
+    m_hasLargeReceiveBuffer = isLarge;
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(isLarge ? LargeReceiveBufferBytes : connection_account::ReceiveBufferBytes), ignored);
+}
+
+void caller_connection::rejectForRoom()
+{
+    if (!m_reader.hasStarted() || m_hasRespondedLast) {
+        close();
+        return;
+    }
+    constexpr unsigned ServiceUnavailable = 503;
+    m_handlers.onRejected(ServiceUnavailable);
+    caller_response response;
+    response.status = ServiceUnavailable;
+    response.fields = {{"Content-Type", "text/plain"}, {"Retry-After", NoRoomRetryAfterSeconds}};
+    response.body = "no memory for the request\n";
+    m_busy = true;
+    respond(std::move(response), true);
+}
+
 void caller_connection::process()
 {
     if (m_busy || m_closed || m_hasRespondedLast || m_unparsed.empty()) {
@@ -128,11 +201,17 @@
     }
     if (!m_reader.hasStarted()) {
         m_messageStartedAt = clock::now();
+        if (m_entry) {
+            m_entry->onBegin(m_messageStartedAt);
+        }
         armTimer(m_messageStartedAt + m_settings.headerTimeout);
     }
     boost::system::error_code failed;
     const std::size_t consumed = m_reader.feed(m_unparsed, failed);
     m_unparsed.erase(0, consumed);
+    if (m_unparsed.empty()) {
+        m_unparsed = std::string();
+    }
     if (failed) {
         reject(failed);
         return;
@@ -142,12 +221,26 @@
             m_sentContinue = true;
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        if (m_reader.heldBytes() > static_cast<std::size_t>(connection_account::ReceiveBufferBytes)) {
+            setReceiveBuffer(true);
+        }
+        return;
+    }
+    std::shared_ptr<void> memory = m_entry ? m_entry->hold(m_reader.heldBytes()) : nullptr;
+    if (m_entry && !memory) {
+        rejectForRoom();
         return;
     }
     ++m_requestsRead;
     m_busy = true;
     m_sentContinue = false;
     http_message request = m_reader.take();
+    request.memory = std::move(memory);
+    setReceiveBuffer(false);
+    if (m_entry) {
+        m_entry->setBusy(true);
+        updateAccount();
+    }
     m_closeAfter = m_closeAfter || !request.keepAlive;
     m_handlers.onRequest(shared_from_this(), std::move(request));
 }
@@ -161,26 +254,39 @@
     response.fields.push_back({"Content-Type", "text/plain"});
     response.body = "request can't be read: " + failed.message() + "\n";
     m_busy = true;
-    respond(response, true);
+    respond(std::move(response), true);
 }
 
-void caller_connection::respond(const caller_response &response, bool closeAfter)
+void caller_connection::respond(caller_response response, bool closeAfter)
 {
     if (m_closed) {
         return;
     }
-    BALSAM_ASSERT(m_busy);
+    BALSAM_ASSERT(m_busy && m_outgoingBody.empty());
     m_closeAfter = m_closeAfter || closeAfter;
     m_hasRespondedLast = m_closeAfter;
     m_busy = false;
     m_idleSince = clock::now();
-    m_outgoingMemory = response.memory;
-    send(serialize(response, m_closeAfter));
+    m_writtenAt = m_idleSince;
+    std::string bytes = serialize(response, m_closeAfter);
+    if (!response.omitsBody && response.body.size() > MaxCopiedBodyBytes) {
+        m_outgoingBody = std::move(response.body);
+    }
+    send(std::move(bytes));
     if (m_closed) {
         return;
     }
-    if (!m_closeAfter) {
+    if (m_entry) {
+        // Others make room for a response that is ready, so it is counted before the connection can be evicted.
+        m_entry->setBusy(true);
+        updateAccount();
+        m_entry->onBegin(m_idleSince);
+        m_entry->setBusy(false);
+    }
+    if (!m_lingering) {
         armTimer(m_idleSince + m_settings.idleTimeout);
+    }
+    if (!m_closeAfter) {
         read();
     }
 }
@@ -194,12 +300,23 @@
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         self->process();
         // Reading may have stopped while the response was being written.
-        if (self->m_unparsed.size() < MaxUnparsedBytes) {
+        if (self->mayRead()) {
             self->read();
         }
     });
 }
 
+std::array<asio::const_buffer, 2> caller_connection::remainingBuffers() const
+{
+    const std::size_t writtenOfBody = m_written > m_outgoing.size() ? m_written - m_outgoing.size() : 0;
+    return {asio::buffer(m_outgoing) + m_written, asio::buffer(m_outgoingBody) + writtenOfBody};
+}
+
+std::size_t caller_connection::remainingBytes() const
+{
+    return m_outgoing.size() + m_outgoingBody.size() - m_written;
+}
+
 void caller_connection::send(std::string bytes)
 {
     if (!m_outgoing.empty()) {
@@ -208,12 +325,12 @@
     }
     m_outgoing = std::move(bytes);
     boost::system::error_code failed;
-    m_written = m_socket.write_some(asio::buffer(m_outgoing), failed);
+    m_written = m_socket.write_some(remainingBuffers(), failed);
     if (failed && failed != asio::error::would_block) {
         close();
         return;
     }
-    if (m_written < m_outgoing.size()) {
+    if (remainingBytes() > 0) {
         writeRemaining();
         return;
     }
@@ -222,8 +339,7 @@
 
 void caller_connection::writeRemaining()
 {
-    const auto remaining = asio::buffer(m_outgoing) + m_written;
-    m_socket.async_write_some(remaining, [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
+    m_socket.async_write_some(remainingBuffers(), [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
         if (self->m_closed) {
             return;
         }
@@ -232,18 +348,24 @@
             return;
         }
         self->m_written += size;
-        if (self->m_written < self->m_outgoing.size()) {
+        self->m_writtenAt = clock::now();
+        if (self->remainingBytes() > 0) {
             self->writeRemaining();
-        } else {
-            self->onWritten();
+            return;
+        }
+        self->m_idleSince = self->m_writtenAt;
+        if (self->m_entry && !self->m_busy) {
+            self->m_entry->onBegin(self->m_idleSince);
         }
+        self->onWritten();
+        self->updateAccount();
     });
 }
 
 void caller_connection::onWritten()
 {
     m_outgoing = std::string();
-    m_outgoingMemory = nullptr;
+    m_outgoingBody = std::string();
     m_written = 0;
     if (m_hasRespondedLast && !m_lingering) {
         lingerAndClose();
@@ -293,7 +415,11 @@
     if (m_closed || (m_busy && !m_lingering)) {
         return;
     }
-    if (m_lingering || !m_reader.hasStarted()) {
+    if (!m_lingering && !m_reader.hasStarted()) {
+        closeIfIdle();
+        return;
+    }
+    if (m_lingering || m_hasRespondedLast) {
         close();
         return;
     }
@@ -303,7 +429,18 @@
     response.status = RequestTimeout;
     response.body = "request did not arrive within " + std::to_string(m_settings.headerTimeout.count()) + " ms\n";
     m_busy = true;
-    respond(response, true);
+    respond(std::move(response), true);
+}
+
+void caller_connection::closeIfIdle()
+{
+    // A caller that reads a long response slowly isn't idle.
+    const clock::time_point due = std::max(m_idleSince, m_writtenAt) + m_settings.idleTimeout;
+    if (clock::now() < due) {
+        armTimer(due);
+    } else {
+        close();
+    }
 }
 
 void caller_connection::close()
@@ -312,7 +449,7 @@
         return;
     }
     m_closed = true;
-    m_outgoingMemory = nullptr;
+    m_entry = nullptr;
     m_timers.stop(m_timer);
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "http/connection_account.h"
 #include "http/message_reader.h"
 
 #include <array>
@@ -21,14 +22,13 @@
     std::string body;
     bool omitsLength = false; ///< `fields` contains the length; used by stand-ins that violate the protocol.
     bool omitsBody = false; ///< For responses to HEAD.
-    response_memory::holding_pointer memory; ///< Counts the response's memory until it is sent; may be empty.
 };
 
 /// Returns the standard reason phrase of an HTTP status code.
 std::string_view reasonPhrase(unsigned status);
 
 /// Server side of a caller's keep-alive connection. Handles one request at a time and detects a caller that disconnects. Rejects malformed requests with
-/// 400, oversized headers with 431, oversized bodies with 413 and slow requests with 408. Not thread-safe.
+/// 400, oversized headers with 431, oversized bodies with 413, slow requests with 408, and requests for which there is no memory with 503. Not thread-safe.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
@@ -39,7 +39,7 @@
     {
         message_reader::limits limits;
         std::chrono::milliseconds headerTimeout{5000}; ///< Limit for the time from the first to the last byte of a request, body included.
-        std::chrono::milliseconds idleTimeout{30000}; ///< Limit for the time without a request.
+        std::chrono::milliseconds idleTimeout{30000}; ///< Limit for the time without a request, and for the time in which the caller reads nothing.
     };
 
     struct handlers
@@ -50,14 +50,15 @@
         std::function<void(unsigned status)> onRejected; ///< A malformed, oversized or slow request was rejected.
     };
 
-    /// Precondition: timers outlives the connection.
-    caller_connection(boost::asio::ip::tcp::socket socket, timer_queue &timers, settings values, handlers callbacks);
+    /// What the connection holds is counted in the entry, if one is given; an eviction closes it. Precondition: timers outlives the connection.
+    caller_connection(
+        boost::asio::ip::tcp::socket socket, timer_queue &timers, settings values, handlers callbacks, connection_account::entry_pointer entry = nullptr);
 
     void start();
 
     /// Sends the response to the request in flight, and then closes the connection if closeAfter is set, the request ended keep-alive or closeWhenIdle()
     /// was called. Has no effect on a closed connection. Precondition: a request is in flight, or the connection is closed.
-    void respond(const caller_response &response, bool closeAfter);
+    void respond(caller_response response, bool closeAfter);
 
     /// Closes the connection if no byte of a request has arrived since the last response; otherwise after the next response. A request that crosses the close
     /// is answered with a reset, by which the caller knows that it wasn't read.
@@ -76,13 +77,21 @@
     void onRead(const boost::system::error_code &failed, std::size_t size);
     void process();
     void processPipelined();
+    bool mayRead() const;
     void reject(const boost::system::error_code &failed);
+    void rejectForRoom();
     void send(std::string bytes);
+    std::array<boost::asio::const_buffer, 2> remainingBuffers() const;
+    std::size_t remainingBytes() const;
+    std::size_t heldBytes() const;
+    bool updateAccount();
+    void setReceiveBuffer(bool isLarge);
     void writeRemaining();
     void onWritten();
     bool hasUnreadBytes() const;
     void lingerAndClose();
     void onTimer();
+    void closeIfIdle();
     void armTimer(clock::time_point due);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -93,11 +102,13 @@
     std::array<char, 4096> m_buffer{};
     std::string m_unparsed; ///< Received bytes that the parser hasn't consumed, pipelined requests included.
     std::string m_outgoing;
-    response_memory::holding_pointer m_outgoingMemory; ///< Of the response in m_outgoing.
+    std::string m_outgoingBody; ///< Sent after m_outgoing; empty if the body is small.
     std::size_t m_written = 0;
+    connection_account::entry_pointer m_entry; ///< May be empty.
     timer_queue::handle m_timer = 0;
     clock::time_point m_idleSince;
     clock::time_point m_messageStartedAt{};
+    clock::time_point m_writtenAt{}; ///< When the caller last made room for bytes of a response.
     std::uint64_t m_requestsRead = 0;
     bool m_busy = false; ///< A request is in flight: onRequest was called, and respond() not yet.
     bool m_reading = false;
@@ -106,6 +117,7 @@
     bool m_lingering = false;
     bool m_closed = false;
     bool m_sentContinue = false;
+    bool m_hasLargeReceiveBuffer = false;
 };
 
 } // namespace balsamhook
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -313,7 +313,7 @@
 class caller_fixture
 {
 public:
-    explicit caller_fixture(caller_connection::settings values = {})
+    explicit caller_fixture(caller_connection::settings values = {}, const connection_account *account = nullptr)
         : timers(context)
         , acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
     {
@@ -333,9 +333,10 @@
             context.stop();
         };
         handlers.onRejected = [](unsigned) {};
-        acceptor.async_accept([this, values, handlers](const boost::system::error_code &failed, tcp::socket socket) {
+        acceptor.async_accept([this, values, handlers, account](const boost::system::error_code &failed, tcp::socket socket) {
             REQUIRE_FALSE(failed);
-            activeConnection = std::make_shared<caller_connection>(std::move(socket), timers, values, handlers);
+            activeConnection
+                = std::make_shared<caller_connection>(std::move(socket), timers, values, handlers, account == nullptr ? nullptr : account->admit());
             activeConnection->start();
         });
     }
@@ -361,6 +362,27 @@
         return received;
     }
 
+    /// Sends the text from a client that reads in pieces, with a pause after each; returns all bytes that it received until the connection ended.
+    std::string runSlowReader(const std::string &sent, std::size_t pieceBytes, std::chrono::milliseconds pause)
+    {
+        std::string received;
+        std::thread client([&] {
+            asio::io_context clientContext;
+            tcp::socket socket(clientContext);
+            socket.connect(acceptor.local_endpoint());
+            boost::system::error_code ended;
+            asio::write(socket, asio::buffer(sent), ended);
+            std::string piece(pieceBytes, ' ');
+            while (!ended) {
+                received.append(piece.data(), asio::read(socket, asio::buffer(piece), ended));
+                std::this_thread::sleep_for(pause);
+            }
+        });
+        context.run_for(TestTimeout);
+        client.join();
+        return received;
+    }
+
     /// Sends the text from a client that begins to read only after a while; returns all bytes that it received until the connection ended.
     std::string runLateReader(const std::string &sent)
     {
@@ -442,6 +464,63 @@
     CHECK(count(received, "HTTP/1.1 200") == 2);
 }
 
+TEST_CASE("caller_connection: a caller that reads a long response slowly gets all of it (it was cut at the idle timeout)")
+{
+    constexpr std::size_t BodyBytes = 12000000;
+    caller_connection::settings values;
+    values.idleTimeout = std::chrono::milliseconds(300);
+    caller_fixture fixture(values);
+    const std::string head = "POST /1/ HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+    const std::string received = fixture.runSlowReader(head + std::string(BodyBytes, 'x'), 1000000, std::chrono::milliseconds(80));
+    CHECK(received.size() > BodyBytes);
+}
+
+TEST_CASE("caller_connection: a caller that asks for close and reads nothing of its response is closed (its connection had no timeout any more)")
+{
+    caller_connection::settings values;
+    values.idleTimeout = std::chrono::milliseconds(100);
+    caller_fixture fixture(values);
+    constexpr std::size_t BodyBytes = 12000000;
+    const std::string request
+        = "POST /1/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
+    asio::io_context clientContext;
+    tcp::socket client(clientContext);
+    std::thread sender([&] {
+        client.connect(fixture.acceptor.local_endpoint());
+        boost::system::error_code ignored;
+        asio::write(client, asio::buffer(request), ignored);
+    });
+    const auto startedAt = std::chrono::steady_clock::now();
+    fixture.context.run_for(TestTimeout);
+    sender.join();
+    CHECK(fixture.requests == 1);
+    CHECK_FALSE(fixture.activeConnection);
+    // Before the network's own timeout.
+    CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::milliseconds(2000));
+}
+
+TEST_CASE("caller_connection: reads a line of a header that is longer than 64 KB where the limit allows it (it got 408)")
+{
+    constexpr std::size_t LineBytes = 200000;
+    caller_connection::settings values;
+    values.limits.headerBytes = 300000;
+    values.headerTimeout = std::chrono::milliseconds(1000);
+    caller_fixture fixture(values);
+    const std::string received = fixture.runClient({"GET /1/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX: " + std::string(LineBytes, 'x') + "\r\n\r\n"});
+    CHECK(received.find(" 200 ") != std::string::npos);
+}
+
+TEST_CASE("caller_connection: a request for which there is no memory is refused as not run, with Retry-After (bodies of many callers filled the memory)")
+{
+    const connection_account account({connection_account::ConnectionBytes + 100000, 10});
+    caller_fixture fixture({}, &account);
+    const std::string received = fixture.runClient({"POST /1/ HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'x')});
+    CHECK(received.find(" 503 ") != std::string::npos);
+    CHECK(received.find("Retry-After: ") != std::string::npos);
+    CHECK(fixture.requests == 0);
+    CHECK(account.bytes() == 0);
+}
+
 TEST_CASE("caller_connection: decodes chunked bodies (guards against forwarding chunk framing)")
 {
     caller_fixture fixture;
--- a/http/http.h
+++ b/http/http.h
@@ -4,6 +4,7 @@
 /// implementation detail.
 
 #include "http/caller_connection.h"
+#include "http/connection_account.h"
 #include "http/exchange_machine.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -28,7 +28,7 @@
     std::vector<header_field> fields;
     std::string body; ///< Chunked encoding is removed.
     bool keepAlive = false;
-    response_memory::holding_pointer memory; ///< Responses from targets: counts their memory while a copy exists; may be empty.
+    std::shared_ptr<void> memory; ///< Counts the message's memory while a copy exists; may be empty.
 
     /// Returns the value of the first field with this name, ignoring case, or nullptr.
     const std::string *find(std::string_view name) const;
--- a/http/socket_options.cpp
+++ b/http/socket_options.cpp
@@ -31,7 +31,7 @@
     socket.set_option(user_timeout_option(UserTimeoutMilliseconds), ignored);
 }
 
-result<void> listenOn(boost::asio::ip::tcp::acceptor &acceptor, const endpoint &local)
+result<void> listenOn(boost::asio::ip::tcp::acceptor &acceptor, const endpoint &local, std::optional<int> receiveBufferBytes)
 {
     namespace asio = boost::asio;
     boost::system::error_code failed;
@@ -42,6 +42,9 @@
     if (!failed) {
         acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), failed);
     }
+    if (!failed && receiveBufferBytes) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(*receiveBufferBytes), failed);
+    }
     if (!failed) {
         acceptor.bind({address, local.port}, failed);
     }
--- a/http/socket_options.h
+++ b/http/socket_options.h
@@ -3,6 +3,7 @@
 #include "base/base.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 
 namespace balsamhook
 {
@@ -12,6 +13,7 @@
 void setSocketOptions(boost::asio::ip::tcp::socket &socket);
 
 /// Binds the acceptor to the address and starts listening. Errors: Unreachable; the acceptor is closed then, so that the call can be repeated.
-result<void> listenOn(boost::asio::ip::tcp::acceptor &acceptor, const endpoint &local);
+/// receiveBufferBytes: receive buffer of the connections from their first byte on, in the bytes asked of the kernel; the kernel's default if empty.
+result<void> listenOn(boost::asio::ip::tcp::acceptor &acceptor, const endpoint &local, std::optional<int> receiveBufferBytes = std::nullopt);
 
 } // namespace balsamhook
--- a/node/caller_request.h
+++ b/node/caller_request.h
@@ -45,7 +45,7 @@
 };
 
 /// Receives the outcome and the response to send to the caller; called at most once.
-using response_handler = std::function<void(request_outcome, const caller_response &)>;
+using response_handler = std::function<void(request_outcome, caller_response)>;
 
 /// Interval at which a request checks again for a replica while all are full or backed off.
 constexpr std::chrono::milliseconds ReplicaPollInterval{6};
--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -33,8 +33,6 @@
 /// Retry-After of refused queries is spread over 1 to 1 + RetryAfterSpread times their objective.
 constexpr double RetryAfterSpread = 3;
 constexpr std::uint64_t MinResponses = 32; ///< New responses between two updates of a latency baseline.
-constexpr std::size_t ReservedDescriptors = 1000; ///< For targets, the store, peers and files.
-constexpr std::size_t MinConnections = 64;
 
 /// Updates the cumulative histogram of the time from a request's arrival to its end.
 void recordLatency(counters &metrics, std::chrono::steady_clock::duration latency)
@@ -74,7 +72,7 @@
 
 result<void> caller_service::listen()
 {
-    BOOST_OUTCOME_TRY(listenOn(m_acceptor, m_context.settings.callers));
+    BOOST_OUTCOME_TRY(listenOn(m_acceptor, m_context.settings.callers, connection_account::ReceiveBufferBytes));
     accept();
     return success();
 }
@@ -97,9 +95,8 @@
 
 void caller_service::serve(asio::ip::tcp::socket socket)
 {
-    const std::size_t descriptors = m_context.settings.descriptors;
-    const std::size_t limit = descriptors > ReservedDescriptors + MinConnections ? descriptors - ReservedDescriptors : MinConnections;
-    if (m_connections.size() >= limit) {
+    connection_account::entry_pointer entry = m_context.connections.admit();
+    if (!entry) {
         m_context.metrics.add("caller_connections_refused_total");
         return;
     }
@@ -116,7 +113,7 @@
         m_context.metrics.add("caller_requests_malformed_total{status=\"" + std::to_string(status) + "\"}");
         m_context.log.write(event_class::Decision, event_line("callers", "request_malformed").add("status", status), clock::now());
     };
-    auto connection = std::make_shared<caller_connection>(std::move(socket), m_context.timers, values, std::move(handlers));
+    auto connection = std::make_shared<caller_connection>(std::move(socket), m_context.timers, values, std::move(handlers), std::move(entry));
     m_connections.emplace(connection.get(), connection);
     connection->start();
 }
@@ -202,7 +199,7 @@
     }
     // A random delay keeps refused callers from retrying at the same time.
     const double retryAfterMilliseconds = static_cast<double>(request.matched->objective.count()) * (1 + RetryAfterSpread * m_context.draw());
-    const caller_response response
+    caller_response response
         = refusalResponse("targets are overloaded; query limit reached", std::chrono::milliseconds(static_cast<std::int64_t>(retryAfterMilliseconds)));
     m_context.metrics.add(std::string("requests_total{outcome=\"").append(nameOf(request_outcome::NotRunOverload)).append("\"}"));
     m_context.log.write(event_class::Decision,
@@ -215,7 +212,7 @@
                             .add("config", request.configuration->version())
                             .add("status", response.status),
                         clock::now());
-    connection->respond(response, m_stopPlan.has_value());
+    connection->respond(std::move(response), m_stopPlan.has_value());
     return true;
 }
 
@@ -300,7 +297,7 @@
     const bool isGather = std::holds_alternative<gather_destination>(request.matched->destination);
     running_request running{request.outgoing->requestId(), request.matched->name, request.configuration->version(), isGather, request.arrivedAt, {}, {}};
     const response_handler responseHandler
-        = [this, connection](request_outcome outcome, const caller_response &response) { respond(connection, outcome, response); };
+        = [this, connection](request_outcome outcome, caller_response response) { respond(connection, outcome, std::move(response)); };
     const auto start = [&](auto started) {
         running.cancel = [started] { started->cancel(); };
         running.expire = [started] { started->expire(); };
@@ -315,7 +312,7 @@
     }
 }
 
-void caller_service::respond(const caller_connection::pointer &connection, request_outcome outcome, const caller_response &response)
+void caller_service::respond(const caller_connection::pointer &connection, request_outcome outcome, caller_response response)
 {
     const auto found = m_running.find(connection.get());
     BALSAM_ASSERT(found != m_running.end());
@@ -323,18 +320,15 @@
     const running_request ended = std::move(found->second);
     m_running.erase(found);
     recordEnd(ended, outcome, response.status);
-    connection->respond(response, m_stopPlan.has_value());
+    connection->respond(std::move(response), m_stopPlan.has_value());
 }
 
-void caller_service::respondLocally(const caller_connection::pointer &connection,
-                                    const caller_response &response,
-                                    std::string_view reason,
-                                    std::string_view requestId)
+void caller_service::respondLocally(const caller_connection::pointer &connection, caller_response response, std::string_view reason, std::string_view requestId)
 {
     m_context.metrics.add(std::string("requests_refused_total{reason=\"").append(reason).append("\"}"));
     m_context.log.write(
         event_class::Decision, event_line("callers", "refused").add("id", requestId).add("reason", reason).add("status", response.status), clock::now());
-    connection->respond(response, m_stopPlan.has_value());
+    connection->respond(std::move(response), m_stopPlan.has_value());
 }
 
 void caller_service::recordEnd(const running_request &ended, request_outcome outcome, unsigned status)
--- a/node/caller_service.h
+++ b/node/caller_service.h
@@ -69,8 +69,8 @@
     bool refuseIfOverloaded(const caller_connection::pointer &connection, const incoming_request &request, const route_statistics &statistics);
     bool refuseIfLeaving(const caller_connection::pointer &connection, const incoming_request &request, const route_statistics &statistics);
     void run(const caller_connection::pointer &connection, incoming_request request, route_statistics &statistics);
-    void respond(const caller_connection::pointer &connection, request_outcome outcome, const caller_response &response);
-    void respondLocally(const caller_connection::pointer &connection, const caller_response &response, std::string_view reason, std::string_view requestId);
+    void respond(const caller_connection::pointer &connection, request_outcome outcome, caller_response response);
+    void respondLocally(const caller_connection::pointer &connection, caller_response response, std::string_view reason, std::string_view requestId);
     void recordEnd(const running_request &ended, request_outcome outcome, unsigned status);
     route_statistics &statisticsOf(const route &matched);
 
--- a/node/forward_request.cpp
+++ b/node/forward_request.cpp
@@ -142,7 +142,7 @@
     if (result.outcome == attempt_outcome::Success) {
         m_statistics.onResponse(result.duration);
         m_context.crashes.onCompleted(*m_request.outgoing, boot_clock::now());
-        forwardResponse(request_outcome::Complete, result.response);
+        forwardResponse(request_outcome::Complete, std::move(result.response));
         return;
     }
     onAttemptFailed(attempt, std::move(result), now);
@@ -224,19 +224,18 @@
     m_timer = m_context.timers.start(due, [self = shared_from_this()] { self->onTimer(); });
 }
 
-void forward_request::forwardResponse(request_outcome outcome, const http_message &message)
+void forward_request::forwardResponse(request_outcome outcome, http_message message)
 {
     caller_response response;
     response.status = message.status;
     response.omitsBody = m_request.omitsBody;
-    response.body = message.body;
-    response.memory = message.memory;
-    for (const header_field &field : message.fields) {
+    response.body = std::move(message.body);
+    for (header_field &field : message.fields) {
         if (!isHopByHop(field.name) && !isSameName(field.name, "Content-Length")) {
-            response.fields.push_back(field);
+            response.fields.push_back(std::move(field));
         }
     }
-    finish(outcome, response);
+    finish(outcome, std::move(response));
 }
 
 void forward_request::respondWithFailure(clock::time_point now)
@@ -245,7 +244,7 @@
     constexpr unsigned GatewayTimeout = 504;
     const bool isInFlight = std::any_of(m_attempts.begin(), m_attempts.end(), [](const target_attempt_ptr &attempt) { return attempt->wasSent(); });
     if (m_failure) {
-        forwardResponse(request_outcome::TargetFailure, *m_failure);
+        forwardResponse(request_outcome::TargetFailure, std::move(*m_failure));
         return;
     }
     if (m_mayHaveRun || isInFlight) {
@@ -295,7 +294,7 @@
     respondWithFailure(now);
 }
 
-void forward_request::finish(request_outcome outcome, const caller_response &response)
+void forward_request::finish(request_outcome outcome, caller_response response)
 {
     m_isOver = true;
     m_context.timers.stop(m_timer);
@@ -303,7 +302,7 @@
         attempt->abandon(false);
     }
     m_attempts.clear();
-    m_responseHandler(outcome, response);
+    m_responseHandler(outcome, std::move(response));
 }
 
 void forward_request::logRefusal(clock::time_point now)
--- a/node/forward_request.h
+++ b/node/forward_request.h
@@ -39,9 +39,9 @@
     bool mayRetry(const attempt_result &result) const;
     void onTimer();
     void schedule(clock::time_point now);
-    void forwardResponse(request_outcome outcome, const http_message &response);
+    void forwardResponse(request_outcome outcome, http_message message);
     void respondWithFailure(clock::time_point now);
-    void finish(request_outcome outcome, const caller_response &response);
+    void finish(request_outcome outcome, caller_response response);
     void logRefusal(clock::time_point now);
     void logDecision(const char *event, const std::string &target, std::string_view why);
 
--- a/node/gather_request.cpp
+++ b/node/gather_request.cpp
@@ -415,7 +415,7 @@
     if (missing == 0) {
         m_context.crashes.onCompleted(*m_request.outgoing, boot_clock::now());
     }
-    finish(missing == 0 ? request_outcome::Complete : request_outcome::Partial, response);
+    finish(missing == 0 ? request_outcome::Complete : request_outcome::Partial, std::move(response));
 }
 
 void gather_request::respondWithFailure(clock::time_point now)
@@ -472,10 +472,10 @@
     shard.attempts.clear();
 }
 
-void gather_request::finish(request_outcome outcome, const caller_response &response)
+void gather_request::finish(request_outcome outcome, caller_response response)
 {
     end(false);
-    m_responseHandler(outcome, response);
+    m_responseHandler(outcome, std::move(response));
 }
 
 void gather_request::logMissing()
--- a/node/gather_request.h
+++ b/node/gather_request.h
@@ -71,7 +71,7 @@
     void respondWithFailure(clock::time_point now);
     void end(bool shouldCancel);
     static void abandonAttempts(shard_state &shard, bool shouldCancel);
-    void finish(request_outcome outcome, const caller_response &response);
+    void finish(request_outcome outcome, caller_response response);
     void logMissing();
     void logDecision(const char *event, const shard_state &shard, const std::string &target, const char *why);
 
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -7,6 +7,7 @@
 #include "platform/platform.h"
 #include "routing/routing.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -18,9 +19,22 @@
 namespace balsamhook
 {
 
-/// Part of the machine's memory for the responses that are received at one time: buffers grow by doubling and a response is copied twice on its way to the
-/// caller.
-constexpr std::size_t ResponseMemoryDivisor = 16;
+/// Parts of the machine's memory, as divisors. While a buffer grows, it takes up to half as much again. What is left is for the program, the catalogue, the
+/// connections to targets, and the pages of the store once they are parsed.
+constexpr std::size_t ConnectionMemoryDivisor = 3; ///< What connections of callers and of others from outside hold.
+constexpr std::size_t ResponseMemoryDivisor = 16; ///< Responses of targets that are received or merged.
+constexpr std::size_t StoreMemoryDivisor = 16; ///< Responses of the store, and of other instances.
+
+/// Limits of the connections from outside, on all ports together, for a machine.
+inline connection_account::limits connectionLimits(const platform_settings &settings)
+{
+    constexpr std::size_t FileDescriptors = 200;
+    constexpr std::size_t MaxOutgoingDescriptors = 800; // For targets, the store and other instances.
+    constexpr std::size_t OutgoingDivisor = 5;
+    constexpr std::size_t MinConnections = 16;
+    const std::size_t reserved = FileDescriptors + std::min(MaxOutgoingDescriptors, settings.descriptors / OutgoingDivisor);
+    return {settings.memoryBytes / ConnectionMemoryDivisor, std::max(MinConnections, settings.descriptors - std::min(settings.descriptors, reserved))};
+}
 
 /// State shared by all tasks of the process. Not thread-safe: all tasks run on the one thread of the io_context.
 struct node_context
@@ -38,7 +52,8 @@
     target_notices notices;
     data_centre_monitor dataCentres;
     response_memory responses{settings.memoryBytes / ResponseMemoryDivisor}; ///< Of targets.
-    response_memory storeResponses{settings.memoryBytes / ResponseMemoryDivisor}; ///< Of the store, and of other instances.
+    response_memory storeResponses{settings.memoryBytes / StoreMemoryDivisor}; ///< Of the store, and of other instances.
+    connection_account connections{connectionLimits(settings)}; ///< From outside, on all ports.
     std::mt19937 random{std::random_device{}()};
 
     /// Returns a uniformly distributed random number in [0, 1).
--- a/node/outgoing_request.cpp
+++ b/node/outgoing_request.cpp
@@ -30,6 +30,7 @@
 
 outgoing_request::outgoing_request(const http_message &request)
     : m_body(std::make_shared<const std::string>(request.body))
+    , m_memory(request.memory)
     , m_expectsBody(request.method != "HEAD")
 {
     const std::string *id = request.find(platform_header::RequestId);
--- a/node/outgoing_request.h
+++ b/node/outgoing_request.h
@@ -32,6 +32,7 @@
 private:
     std::string m_head; ///< Request line and common headers, each terminated by CRLF.
     std::shared_ptr<const std::string> m_body;
+    std::shared_ptr<void> m_memory; ///< Counts the memory of the request.
     std::string m_requestId;
     std::string m_identity; ///< Method, host and request target.
     bool m_expectsBody = true;
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -72,11 +72,20 @@
     , m_metricsServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return serveInternal(std::move(request)); })
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
+    m_context.connections.onEvicted([this](shortage kind, std::size_t bytes) { onEvicted(kind, bytes); });
     m_callers.setRequestListener([this] { m_catalogueActiveUntil = clock::now() + CatalogueRetentionPeriod; });
 }
 
 query_node::~query_node() = default;
 
+void query_node::onEvicted(shortage kind, std::size_t bytes)
+{
+    m_metrics.add(std::string("connections_evicted_total{shortage=\"").append(nameOf(kind)).append("\"}"));
+    m_log.write(event_class::Decision,
+                event_line("connections", "evicted").add("shortage", nameOf(kind)).add("held_bytes", static_cast<std::uint64_t>(bytes)),
+                clock::now());
+}
+
 catalogue_sync::handlers query_node::catalogueHandlers()
 {
     catalogue_sync::handlers handlers;
@@ -236,6 +245,8 @@
         m_metrics.set("peers_alive", static_cast<std::int64_t>(m_peers.peers().alive(clock::now()).size()));
         m_metrics.set("store_reached", m_catalogue.isStoreReachable() ? 1 : 0);
         m_metrics.set("response_bytes", static_cast<std::int64_t>(m_context.responses.used()));
+        m_metrics.set("connection_bytes", static_cast<std::int64_t>(m_context.connections.bytes()));
+        m_metrics.set("connections", static_cast<std::int64_t>(m_context.connections.connections()));
         m_metrics.set("log_lines_dropped", static_cast<std::int64_t>(m_log.dropped()));
         co_return textResponse(200, m_metrics.text());
     }
@@ -376,6 +387,7 @@
         return;
     }
     m_settings = std::move(changed);
+    m_context.connections.setLimits(connectionLimits(m_settings));
     m_context.budget.setLimits({m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow});
     m_log.write(event_class::StateChange, event_line("node", "reload").add("trigger", reason).add("changed", !isUnchanged), clock::now());
 }
--- a/node/query_node.h
+++ b/node/query_node.h
@@ -34,6 +34,7 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    void onEvicted(shortage kind, std::size_t bytes);
     result<void> listen();
     void listenOnMetricsPort();
     void start();
--- a/programs/clients_test.cpp
+++ b/programs/clients_test.cpp
@@ -372,6 +372,14 @@
         fixture.check({slow}, 600000);
     }
 
+    TEST_CASE("slow_readers_of_many_merged_answers")
+    {
+        instance_fixture fixture;
+        client_behaviour slow{CallerPort, 2 * ManyClients, get("/merged/" + std::to_string(PartBytes / 4))};
+        slow.isReading = true;
+        fixture.check({slow}, 600000);
+    }
+
     TEST_CASE("unfinished_bodies_from_callers")
     {
         instance_fixture fixture;
