Serve a single large answer on a small machine

Callers saw: an answer over a 32nd of the machine's memory (2 MB of 64, 5 MB of 160) ended with 502, though nothing else was under way. Cause: the memory for targets' responses was a sixteenth of the machine, since a response was copied twice on its way and its buffer grew to up to twice its length; one alone may take half of it. Evidence: clients_one_large_answer_alone_is_served, 5 MB on 64 MB: lost before (response_without_room), served now; the crowds stay below the bound (merged answers, the most: 47 MB).

--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -80,7 +80,7 @@
     /// A field takes far more memory than a short line has bytes.
     std::size_t heldBytes() const
     {
-        return message.fields.capacity() * sizeof(header_field) + m_fieldBytes + message.body.capacity();
+        return message.target.capacity() + message.fields.capacity() * sizeof(header_field) + m_fieldBytes + message.body.capacity();
     }
 
     http_message message;
@@ -189,11 +189,12 @@
     {
         constexpr std::uint64_t MaxReserveBytes = 4 * 1024;
         message.body.reserve(static_cast<std::size_t>(std::min(length.value_or(0), MaxReserveBytes)));
+        m_length = length;
     }
 
     std::size_t on_body_impl(string_view body, error_code &) override
     {
-        message.body.append(body.data(), body.size());
+        appendToBody(body);
         return body.size();
     }
 
@@ -203,13 +204,28 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code &) override
     {
-        message.body.append(body.data(), body.size());
+        appendToBody(body);
         return body.size();
     }
 
     void on_finish_impl(error_code &) override
     {
     }
+
+    void appendToBody(string_view bytes)
+    {
+        const std::size_t needed = message.body.size() + bytes.size();
+        if (needed > message.body.capacity() && m_length) {
+            // Doubled as usual, but not beyond a length that is known; reserve() alone never grows by less than double.
+            std::string grown;
+            grown.reserve(std::max(needed, std::min(2 * message.body.capacity(), static_cast<std::size_t>(*m_length))));
+            grown.append(message.body);
+            message.body = std::move(grown);
+        }
+        message.body.append(bytes.data(), bytes.size());
+    }
+
+    boost::optional<std::uint64_t> m_length; ///< Of the body, if the header names it.
 };
 
 message_reader::message_reader(message_kind kind, limits allowed)
--- a/node/node_context.h
+++ b/node/node_context.h
@@ -22,7 +22,7 @@
 /// Parts of the machine's memory, as divisors. While a buffer grows, it takes up to half as much again. What is left is for the program, the catalogue, the
 /// connections to targets, and the pages of the store once they are parsed.
 constexpr std::size_t ConnectionMemoryDivisor = 3; ///< What connections of callers and of others from outside hold.
-constexpr std::size_t ResponseMemoryDivisor = 16; ///< Responses of targets that are received or merged.
+constexpr std::size_t ResponseMemoryDivisor = 5; ///< Responses of targets that are received or merged.
 constexpr std::size_t StoreMemoryDivisor = 16; ///< Responses of the store, and of other instances.
 
 /// Limits of the connections from outside, on all ports together, for a machine.
