Hold the directory, readiness, internal and metrics ports to the same account

Callers saw: 150 connections with 900 KB of body each on the directory, readiness or control port took 142 MB of a machine of 64; idle connections there took the descriptors that callers and targets need (512 on each port, and the callers' limit besides: more than a machine has), and ordinary callers were refused. Cause: http_server had limits for each connection and each port only, and left what it didn't read yet to the kernel. A response to HEAD had a body (http_test). Change: http_server runs on caller_connection, so all ports share its limits and one account; the server's own code for streams goes. The four ports take bodies of 16 KB at most (413), as no request to them has one: 1 MB before.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -1,32 +1,23 @@
 #include "http/http_server.h"
 
+#include "http/caller_connection.h"
 #include "http/socket_options.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <set>
+#include <unordered_set>
 
 namespace balsamhook
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using asio::ip::tcp;
 
 namespace
 {
 
-using beast_request = beast::http::request<beast::http::string_body>;
-using beast_response = beast::http::response<beast::http::string_body>;
-using parser = beast::http::request_parser<beast::http::string_body>;
-
-std::string lowerCase(beast::string_view text)
+std::string lowerCase(std::string_view text)
 {
     std::string lower(text);
     for (char &c : lower) {
@@ -52,73 +43,74 @@
     }
 }
 
-http_request fromBeast(beast_request &&message, std::string peer)
+http_request toRequest(http_message &&message, std::string peer)
 {
     http_request request;
-    request.method = std::string(message.method_string());
-    splitTarget({message.target().data(), message.target().size()}, request);
-    for (const auto &field : message) {
-        request.headers[lowerCase(field.name_string())] = std::string(field.value());
+    request.method = std::move(message.method);
+    splitTarget(message.target, request);
+    for (header_field &field : message.fields) {
+        request.headers[lowerCase(field.name)] = std::move(field.value);
     }
-    request.body = std::move(message.body());
+    request.body = std::move(message.body);
     request.peer = std::move(peer);
     return request;
 }
 
-beast_response toBeast(http_response &&response, unsigned version, bool keepAlive)
+caller_response toCallerResponse(http_response &&response, bool omitsBody)
 {
-    beast_response message(static_cast<beast::http::status>(response.status), version);
-    message.set(beast::http::field::content_type, response.contentType);
-    for (const auto &[name, value] : response.headers) {
-        message.set(name, value);
+    caller_response sent;
+    sent.status = response.status;
+    sent.fields.push_back({"Content-Type", std::move(response.contentType)});
+    for (auto &[name, value] : response.headers) {
+        sent.fields.push_back({name, std::move(value)});
     }
-    message.body() = std::move(response.body);
-    message.keep_alive(keepAlive);
-    message.prepare_payload();
-    return message;
+    sent.body = std::move(response.body);
+    sent.omitsBody = omitsBody;
+    return sent;
 }
 
-bool isMalformed(const boost::system::error_code &failed)
+std::string describePeer(const tcp::socket &socket)
 {
-    return failed.category() == beast::http::make_error_code(beast::http::error::bad_method).category() && failed != beast::http::error::end_of_stream
-        && failed != beast::http::error::partial_message;
-}
-
-unsigned statusOf(const boost::system::error_code &failed)
-{
-    if (failed == beast::http::error::body_limit) {
-        return 413;
-    }
-    return failed == beast::http::error::header_limit ? 431 : 400;
+    boost::system::error_code failed;
+    const auto remote = socket.remote_endpoint(failed);
+    return failed ? "unknown peer" : remote.address().to_string() + ":" + std::to_string(remote.port());
 }
 
 } // namespace
 
-struct http_server::state
+/// Kept alive by the connections, which may outlive the server.
+struct http_server::state : std::enable_shared_from_this<state>
 {
-    state(asio::io_context &ioContext, http_limits httpLimits, counters &metrics, handler handleRequest)
+    state(asio::io_context &ioContext, http_limits httpLimits, counters &serverMetrics, handler handleRequest, const connection_account *shared)
         : context(ioContext)
+        , timers(ioContext)
         , acceptor(ioContext)
         , limits(httpLimits)
-        , metrics(metrics)
+        , metrics(serverMetrics)
         , handle(std::move(handleRequest))
+        , ownAccount({connection_account::limits().bytes, httpLimits.connections})
+        , account(shared == nullptr ? ownAccount : *shared)
     {
     }
 
+    void accept();
+    void serve(tcp::socket socket);
+    caller_connection::handlers connectionHandlers(std::string peer);
+    static asio::awaitable<void> respond(std::shared_ptr<state> self, caller_connection::pointer connection, http_request request);
+    asio::awaitable<http_response> runHandler(http_request request);
+    void stop();
+
     asio::io_context &context;
+    timer_queue timers;
     tcp::acceptor acceptor;
     http_limits limits;
     counters &metrics;
     handler handle;
+    connection_account ownAccount;
+    const connection_account &account;
     bool stopping = false;
     std::size_t inFlight = 0;
-    std::set<beast::tcp_stream *> idle;
-    std::size_t open = 0;
-
-    static asio::awaitable<void> acceptLoop(std::shared_ptr<state> self);
-    static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket socket);
-    asio::awaitable<http_response> runHandler(http_request request);
-    asio::awaitable<void> reject(beast::tcp_stream &stream, const boost::system::error_code &failed);
+    std::unordered_set<caller_connection *> connections;
 };
 
 asio::awaitable<http_response> http_server::state::runHandler(http_request request)
@@ -136,92 +128,80 @@
     co_return response;
 }
 
-asio::awaitable<void> http_server::state::reject(beast::tcp_stream &stream, const boost::system::error_code &failed)
+asio::awaitable<void> http_server::state::respond(std::shared_ptr<state> self, caller_connection::pointer connection, http_request request)
 {
-    metrics.add("http_malformed_requests_total");
-    const unsigned status = statusOf(failed);
-    const std::string message = status == 413 ? "body exceeds " + std::to_string(limits.bodyBytes) + " bytes" : "malformed request: " + failed.message();
-    beast_response response = toBeast(errorResponse(status, message), 11, false);
-    boost::system::error_code ignored;
-    stream.expires_after(limits.idleTimeout);
-    co_await beast::http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ignored));
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    // Closing a socket with unread request bytes sends a reset, which can discard the error response before the client reads it.
-    constexpr std::size_t MaxDrainBytes = 4 * 1024 * 1024;
-    constexpr std::chrono::seconds DrainTimeout{1};
-    char discarded[4096];
-    stream.expires_after(DrainTimeout);
-    for (std::size_t drained = 0; drained < MaxDrainBytes && !ignored;) {
-        drained += co_await stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    const bool omitsBody = request.method == "HEAD";
+    http_response response = co_await self->runHandler(std::move(request));
+    connection->respond(toCallerResponse(std::move(response), omitsBody), self->stopping);
 }
 
-asio::awaitable<void> http_server::state::serve(std::shared_ptr<state> self, tcp::socket socket)
+caller_connection::handlers http_server::state::connectionHandlers(std::string peer)
 {
-    boost::system::error_code failed;
-    setSocketOptions(socket);
-    const auto remote = socket.remote_endpoint(failed);
-    const std::string peer = failed ? "unknown peer" : remote.address().to_string() + ":" + std::to_string(remote.port());
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (!self->stopping) {
-        parser incoming;
-        incoming.body_limit(self->limits.bodyBytes);
-        incoming.header_limit(static_cast<std::uint32_t>(self->limits.headerBytes));
-        stream.expires_after(self->limits.idleTimeout);
-        self->idle.insert(&stream);
-        co_await beast::http::async_read_header(stream, buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
-        self->idle.erase(&stream);
-        if (!failed) {
-            co_await beast::http::async_read(stream, buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
-        }
-        if (failed) {
-            if (isMalformed(failed)) {
-                co_await self->reject(stream, failed);
-            }
-            break;
-        }
-        // The idle timeout doesn't apply while the handler runs, so that it can't interrupt a long poll.
-        stream.expires_never();
-        const bool keepAlive = incoming.get().keep_alive();
-        const unsigned version = incoming.get().version();
-        http_response response = co_await self->runHandler(fromBeast(incoming.release(), peer));
-        beast_response outgoing = toBeast(std::move(response), version, keepAlive && !self->stopping);
-        stream.expires_after(self->limits.idleTimeout);
-        co_await beast::http::async_write(stream, outgoing, asio::redirect_error(asio::use_awaitable, failed));
-        if (failed || !outgoing.keep_alive()) {
-            break;
-        }
+    caller_connection::handlers handlers;
+    handlers.onRequest = [self = shared_from_this(), peer = std::move(peer)](const caller_connection::pointer &connection, http_message message) {
+        asio::co_spawn(self->context, respond(self, connection, toRequest(std::move(message), peer)), asio::detached);
+    };
+    handlers.onDisconnected = [](const caller_connection::pointer &) {};
+    handlers.onClosed = [self = shared_from_this()](const caller_connection::pointer &connection) { self->connections.erase(connection.get()); };
+    handlers.onRejected = [self = shared_from_this()](unsigned) { self->metrics.add("http_malformed_requests_total"); };
+    return handlers;
+}
+
+void http_server::state::serve(tcp::socket socket)
+{
+    connection_account::entry_pointer entry = account.admit();
+    if (!entry) {
+        metrics.add("http_connections_refused_total");
+        return;
     }
-    stream.socket().shutdown(tcp::socket::shutdown_both, failed);
+    caller_connection::settings values;
+    values.limits = {limits.headerBytes, limits.bodyBytes};
+    values.headerTimeout = limits.idleTimeout;
+    values.idleTimeout = limits.idleTimeout;
+    caller_connection::handlers handlers = connectionHandlers(describePeer(socket));
+    const auto connection = std::make_shared<caller_connection>(std::move(socket), timers, values, std::move(handlers), std::move(entry));
+    connections.insert(connection.get());
+    connection->start();
 }
 
-asio::awaitable<void> http_server::state::acceptLoop(std::shared_ptr<state> self)
+void http_server::state::accept()
 {
-    constexpr std::chrono::milliseconds DelayAfterError{50};
-    while (!self->stopping) {
-        boost::system::error_code failed;
-        tcp::socket socket = co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failed));
+    acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &failed, tcp::socket socket) {
         if (self->stopping) {
-            co_return;
+            return;
         }
-        if (failed) {
-            // Usually the process has run out of file descriptors; accepting again immediately would cause a busy loop.
-            asio::steady_timer retryTimer(self->context, DelayAfterError);
-            co_await retryTimer.async_wait(asio::redirect_error(asio::use_awaitable, failed));
-            continue;
-        }
-        if (self->open >= self->limits.connections) {
-            self->metrics.add("http_connections_refused_total");
-            continue;
+        if (!failed) {
+            self->serve(std::move(socket));
+            self->accept();
+            return;
         }
-        ++self->open;
-        asio::co_spawn(self->context, serve(self, std::move(socket)), [self](std::exception_ptr) { --self->open; });
+        // Usually the process has run out of file descriptors; accepting again immediately would cause a busy loop.
+        constexpr std::chrono::milliseconds DelayAfterError{50};
+        self->timers.start(timer_queue::clock::now() + DelayAfterError, [self] {
+            if (!self->stopping) {
+                self->accept();
+            }
+        });
+    });
+}
+
+void http_server::state::stop()
+{
+    stopping = true;
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    std::vector<caller_connection::pointer> open;
+    open.reserve(connections.size());
+    for (caller_connection *connection : connections) {
+        open.push_back(connection->shared_from_this());
+    }
+    for (const caller_connection::pointer &connection : open) {
+        connection->closeWhenIdle();
     }
 }
 
-http_server::http_server(asio::io_context &context, http_limits limits, counters &metrics, handler handle)
-    : m_state(std::make_shared<state>(context, limits, metrics, std::move(handle)))
+http_server::http_server(asio::io_context &context, http_limits limits, counters &metrics, handler handle, const connection_account *account)
+    : m_state(std::make_shared<state>(context, limits, metrics, std::move(handle), account))
 {
 }
 
@@ -232,19 +212,14 @@
 
 result<void> http_server::listen(const endpoint &local)
 {
-    BOOST_OUTCOME_TRY(listenOn(m_state->acceptor, local));
-    asio::co_spawn(m_state->context, state::acceptLoop(m_state), asio::detached);
+    BOOST_OUTCOME_TRY(listenOn(m_state->acceptor, local, connection_account::ReceiveBufferBytes));
+    m_state->accept();
     return success();
 }
 
 void http_server::stop()
 {
-    m_state->stopping = true;
-    boost::system::error_code ignored;
-    m_state->acceptor.close(ignored);
-    for (beast::tcp_stream *stream : m_state->idle) {
-        stream->socket().shutdown(tcp::socket::shutdown_receive, ignored);
-    }
+    m_state->stop();
 }
 
 std::size_t http_server::inFlight() const
--- a/http/http_test.cpp
+++ b/http/http_test.cpp
@@ -120,6 +120,39 @@
     }());
 }
 
+TEST_CASE("http_server: connections that are held open make room for others (they took all that a server accepts)")
+{
+    constexpr std::size_t MaxConnections = 3;
+    asio::io_context context;
+    counters metrics;
+    const connection_account account({connection_account::limits().bytes, MaxConnections});
+    const endpoint local{"127.0.0.1", 17993};
+    http_server server(
+        context, {}, metrics, [](http_request request) -> asio::awaitable<http_response> { co_return textResponse(200, request.path); }, &account);
+    REQUIRE(server.listen(local).has_value());
+    CHECK(runToEnd(context, [](const endpoint &address) -> asio::awaitable<void> {
+        std::vector<http_connection::pointer> idle;
+        for (std::size_t i = 0; i < 2 * MaxConnections; ++i) {
+            auto opened = co_await http_connection::open(address, "", std::chrono::seconds(1));
+            REQUIRE(opened.has_value());
+            idle.push_back(opened.value());
+        }
+        const auto response = co_await fetch(address, "", http_request(), std::chrono::seconds(1));
+        CHECK(response.has_value());
+    }(local)));
+    CHECK(account.connections() <= MaxConnections);
+}
+
+TEST_CASE("http_server: a response to HEAD has no body")
+{
+    echo_fixture fixture;
+    fixture.run([]() -> asio::awaitable<void> {
+        const std::string received = co_await sendRaw("HEAD /fine HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CHECK(received.find(" 200 ") != std::string::npos);
+        CHECK(received.find("HEAD /fine") == std::string::npos);
+    }());
+}
+
 TEST_CASE("http_server: random bytes never crash the server")
 {
     echo_fixture fixture;
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -35,7 +35,7 @@
 http_limits internalLimits()
 {
     http_limits limits;
-    limits.connections = 512;
+    limits.bodyBytes = 16 * 1024; // No request to these ports needs a body.
     limits.idleTimeout = std::chrono::seconds(20);
     return limits;
 }
@@ -66,10 +66,14 @@
     , m_peers(m_context, m_store)
     , m_catalogue(m_context, m_store, catalogueHandlers())
     , m_stop(m_context, m_callers, stopHandlers())
-    , m_directoryServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return resolve(std::move(request)); })
-    , m_readinessServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return checkReadiness(std::move(request)); })
-    , m_internalServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return serveInternal(std::move(request)); })
-    , m_metricsServer(m_io, internalLimits(), m_metrics, [this](http_request request) { return serveInternal(std::move(request)); })
+    , m_directoryServer(
+          m_io, internalLimits(), m_metrics, [this](http_request request) { return resolve(std::move(request)); }, &m_context.connections)
+    , m_readinessServer(
+          m_io, internalLimits(), m_metrics, [this](http_request request) { return checkReadiness(std::move(request)); }, &m_context.connections)
+    , m_internalServer(
+          m_io, internalLimits(), m_metrics, [this](http_request request) { return serveInternal(std::move(request)); }, &m_context.connections)
+    , m_metricsServer(
+          m_io, internalLimits(), m_metrics, [this](http_request request) { return serveInternal(std::move(request)); }, &m_context.connections)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
     m_context.connections.onEvicted([this](shortage kind, std::size_t bytes) { onEvicted(kind, bytes); });
