--- a/node/caller_service.cpp
+++ b/node/caller_service.cpp
@@ -109,15 +109,24 @@
     handlers.onRequest = [this](const caller_connection::pointer &connection, http_message message) { onRequest(connection, std::move(message)); };
     handlers.onDisconnected = [this](const caller_connection::pointer &connection) { onDisconnected(connection); };
     handlers.onClosed = [this](const caller_connection::pointer &connection) { m_connections.erase(connection.get()); };
-    handlers.onRejected = [this](unsigned status) {
-        m_context.metrics.add("caller_requests_malformed_total{status=\"" + std::to_string(status) + "\"}");
-        m_context.log.write(event_class::Decision, event_line("callers", "request_malformed").add("status", status), clock::now());
-    };
+    handlers.onRejected = [this](unsigned status) { recordRejection(status); };
     auto connection = std::make_shared<caller_connection>(std::move(socket), m_context.timers, values, std::move(handlers), std::move(entry));
     m_connections.emplace(connection.get(), connection);
     connection->start();
 }
 
+void caller_service::recordRejection(unsigned status)
+{
+    constexpr unsigned ServiceUnavailable = 503;
+    if (status == ServiceUnavailable) {
+        m_context.metrics.add("requests_refused_total{reason=\"no_memory\"}");
+        m_context.log.write(event_class::Decision, event_line("callers", "refused").add("reason", "no_memory").add("status", status), clock::now());
+        return;
+    }
+    m_context.metrics.add("caller_requests_malformed_total{status=\"" + std::to_string(status) + "\"}");
+    m_context.log.write(event_class::Decision, event_line("callers", "request_malformed").add("status", status), clock::now());
+}
+
 void caller_service::setConfiguration(std::shared_ptr<const routing_configuration> configuration)
 {
     m_configuration = std::move(configuration);
--- a/node/caller_service.h
+++ b/node/caller_service.h
@@ -71,6 +71,7 @@
     void run(const caller_connection::pointer &connection, incoming_request request, route_statistics &statistics);
     void respond(const caller_connection::pointer &connection, request_outcome outcome, caller_response response);
     void respondLocally(const caller_connection::pointer &connection, caller_response response, std::string_view reason, std::string_view requestId);
+    void recordRejection(unsigned status);
     void recordEnd(const running_request &ended, request_outcome outcome, unsigned status);
     route_statistics &statisticsOf(const route &matched);
 
--- a/node/response_memory_test.cpp
+++ b/node/response_memory_test.cpp
@@ -154,6 +154,28 @@
 
 } // namespace
 
+TEST_CASE("the limits of connections and responses fit machines of any size (the ports together let in more connections than a machine has descriptors)")
+{
+    for (std::size_t descriptors = 300; descriptors <= 20000; descriptors += 100) {
+        platform_settings settings;
+        settings.descriptors = descriptors;
+        CAPTURE(descriptors);
+        constexpr std::size_t FileDescriptors = 200;
+        const std::size_t connections = connectionLimits(settings).connections;
+        // Some are left for targets, the store and other instances.
+        CHECK(connections + FileDescriptors + descriptors / 30 < descriptors);
+        CHECK(connections * 8 >= descriptors);
+    }
+    for (const std::size_t megabytes : {64U, 160U, 260U, 512U}) {
+        platform_settings settings;
+        settings.memoryBytes = megabytes * 1024 * 1024;
+        const std::size_t connectionBytes = connectionLimits(settings).bytes;
+        const std::size_t responseBytes = settings.memoryBytes / ResponseMemoryDivisor + settings.memoryBytes / StoreMemoryDivisor;
+        // A growing buffer takes half as much again.
+        CHECK(connectionBytes + responseBytes * 3 / 2 < settings.memoryBytes * 3 / 4);
+    }
+}
+
 TEST_CASE(
     "responses without end from a faulty target don't fill the memory, and others are served meanwhile (a machine ran out of memory and lost all requests)")
 {
