Keep nothing of a request that was rejected, nor of one that was answered

Seen in the last read: a connection that got 413, 408 or 503 kept what had arrived of its request until it ended, and an idle one kept the buffers of its largest request and response, since assigning an empty string keeps the buffer. Both counted in the account, so that idle connections were evicted for memory that nobody needs. Change: the rest of a rejected request is dropped before its response is sent; buffers are swapped out.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -41,6 +41,12 @@
     return failed == http::error::header_limit ? HeaderTooLarge : BadRequest;
 }
 
+/// Empties the text. An assignment could keep its buffer.
+void releaseMemory(std::string &text)
+{
+    std::string().swap(text);
+}
+
 /// Returns the header, and the body behind it if that is small.
 std::string serialize(const caller_response &response, bool closeAfter)
 {
@@ -176,7 +182,7 @@
 
 void caller_connection::rejectForRoom()
 {
-    if (!m_reader.hasStarted() || m_hasRespondedLast) {
+    if (!m_reader.hasStarted()) {
         close();
         return;
     }
@@ -186,6 +192,15 @@
     response.status = ServiceUnavailable;
     response.fields = {{"Content-Type", "text/plain"}, {"Retry-After", NoRoomRetryAfterSeconds}};
     response.body = "no memory for the request\n";
+    respondToUnread(std::move(response));
+}
+
+void caller_connection::respondToUnread(caller_response response)
+{
+    // What has arrived of the request isn't kept while the caller reads the response.
+    m_reader = message_reader(message_kind::Request, m_settings.limits);
+    releaseMemory(m_unparsed);
+    setReceiveBuffer(false);
     m_busy = true;
     respond(std::move(response), true);
 }
@@ -210,7 +225,7 @@
     const std::size_t consumed = m_reader.feed(m_unparsed, failed);
     m_unparsed.erase(0, consumed);
     if (m_unparsed.empty()) {
-        m_unparsed = std::string();
+        releaseMemory(m_unparsed);
     }
     if (failed) {
         reject(failed);
@@ -253,8 +268,7 @@
     response.status = status;
     response.fields.push_back({"Content-Type", "text/plain"});
     response.body = "request can't be read: " + failed.message() + "\n";
-    m_busy = true;
-    respond(std::move(response), true);
+    respondToUnread(std::move(response));
 }
 
 void caller_connection::respond(caller_response response, bool closeAfter)
@@ -364,8 +378,8 @@
 
 void caller_connection::onWritten()
 {
-    m_outgoing = std::string();
-    m_outgoingBody = std::string();
+    releaseMemory(m_outgoing);
+    releaseMemory(m_outgoingBody);
     m_written = 0;
     if (m_hasRespondedLast && !m_lingering) {
         lingerAndClose();
@@ -419,7 +433,7 @@
         closeIfIdle();
         return;
     }
-    if (m_lingering || m_hasRespondedLast) {
+    if (m_lingering) {
         close();
         return;
     }
@@ -428,8 +442,7 @@
     caller_response response;
     response.status = RequestTimeout;
     response.body = "request did not arrive within " + std::to_string(m_settings.headerTimeout.count()) + " ms\n";
-    m_busy = true;
-    respond(std::move(response), true);
+    respondToUnread(std::move(response));
 }
 
 void caller_connection::closeIfIdle()
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -80,6 +80,7 @@
     bool mayRead() const;
     void reject(const boost::system::error_code &failed);
     void rejectForRoom();
+    void respondToUnread(caller_response response);
     void send(std::string bytes);
     std::array<boost::asio::const_buffer, 2> remainingBuffers() const;
     std::size_t remainingBytes() const;
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -521,6 +521,41 @@
     CHECK(account.bytes() == 0);
 }
 
+TEST_CASE("caller_connection: nothing is kept of a request that was rejected, also while its caller stays (its body was, until the connection ended)")
+{
+    constexpr std::size_t MaxBodyBytes = 200000;
+    const connection_account account({10 * MaxBodyBytes, 10});
+    caller_connection::settings values;
+    values.limits.bodyBytes = MaxBodyBytes;
+    caller_fixture fixture(values, &account);
+    std::size_t heldAfter = 0;
+    asio::steady_timer check(fixture.context, std::chrono::milliseconds(200));
+    check.async_wait([&](const boost::system::error_code &) { heldAfter = account.bytes(); });
+    std::string sent = "POST /1/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t bytes = 0; bytes <= MaxBodyBytes; bytes += 0x1000) {
+        sent += "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+    }
+    const std::string received = fixture.runSlowReader(sent, 100000, std::chrono::milliseconds(400));
+    CHECK(received.find(" 413 ") != std::string::npos);
+    CHECK(heldAfter < connection_account::ConnectionBytes + 1024);
+}
+
+TEST_CASE("caller_connection: an idle connection keeps nothing of a large request and its response (guards against idle connections that hold memory)")
+{
+    constexpr std::size_t BodyBytes = 300000;
+    const connection_account account({20 * BodyBytes, 10});
+    caller_connection::settings values;
+    values.idleTimeout = std::chrono::milliseconds(1000);
+    caller_fixture fixture(values, &account);
+    std::size_t heldAfter = 0;
+    asio::steady_timer check(fixture.context, std::chrono::milliseconds(700));
+    check.async_wait([&](const boost::system::error_code &) { heldAfter = account.bytes(); });
+    const std::string head = "POST /1/ HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+    const std::string received = fixture.runSlowReader(head + std::string(BodyBytes, 'x'), 2 * BodyBytes, std::chrono::milliseconds(0));
+    CHECK(received.size() > BodyBytes);
+    CHECK(heldAfter < connection_account::ConnectionBytes + 1024);
+}
+
 TEST_CASE("caller_connection: decodes chunked bodies (guards against forwarding chunk framing)")
 {
     caller_fixture fixture;
--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -117,7 +117,9 @@
     if (m_written < m_outgoing.size()) {
         writeRemaining();
     } else {
-        m_outgoing = {};
+        // An assignment could keep the buffer.
+        serialized_request().head.swap(m_outgoing.head);
+        m_outgoing.body = nullptr;
         m_machine.onRequestWritten();
     }
 }
