--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -4,4 +4,5 @@
 
 #include "catalogue/copy_progress.h"
 #include "catalogue/routing_configuration.h"
+#include "catalogue/store_era.h"
 #include "catalogue/target_catalogue.h"
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -65,10 +65,42 @@
     , m_configurationKind(context.io, platform_kind::Configuration)
     , m_targetKind(context.io, platform_kind::Targets)
     , m_evacuationKind(context.io, platform_kind::Evacuations)
-    , m_probe(context, store, [this](clock::time_point lostBefore) { onStoreRecovered(lostBefore); })
+    , m_probe(context, store, probeHandlers())
 {
 }
 
+store_probe::handlers catalogue_sync::probeHandlers()
+{
+    store_probe::handlers handlers;
+    handlers.onRecovered = [this](clock::time_point lostBefore) { onStoreRecovered(lostBefore); };
+    handlers.onResponse = [this](const object_page &page) { noteEra(m_era.observeHint(page.era), "probe", page.revision); };
+    return handlers;
+}
+
+void catalogue_sync::noteEra(store_era::verdict verdict, std::string_view source, std::uint64_t revision)
+{
+    if (verdict == store_era::verdict::Outdated) {
+        m_context.metrics.add("store_answers_of_earlier_eras_total");
+    }
+    if (m_era.followed() == m_loggedEra) {
+        return;
+    }
+    if (verdict == store_era::verdict::Changed) {
+        m_context.metrics.add("store_era_changes_total");
+    }
+    m_context.log.write(event_class::StateChange,
+                        event_line("catalogue", verdict == store_era::verdict::Changed ? "store_era_changed" : "store_era")
+                            .add("previous", m_loggedEra.value_or(0))
+                            .add("current", m_era.followed().value_or(0))
+                            .add("source", source)
+                            .add("revision", revision)
+                            .add("configuration", m_configurationKind.progress.revisions().newest)
+                            .add("targets", m_targetKind.progress.revisions().newest)
+                            .add("evacuations", m_evacuationKind.progress.revisions().newest),
+                        clock::now());
+    m_loggedEra = m_era.followed();
+}
+
 void catalogue_sync::start()
 {
     for (watched_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
@@ -223,6 +255,7 @@
     std::uint64_t firstRevision = 0;
     const unsigned activation = m_activation;
     const copy_progress::call_token call = kind.progress.beginCall();
+    const store_era::call_token eraCall = m_era.beginCall();
     while (true) {
         const auto page = co_await m_store.list(kind.kind, after, read_mode::Current, std::max(kind.listTimeout, MinListTimeout));
         if (activation != m_activation) {
@@ -231,6 +264,7 @@
         if (!page) {
             co_return page.error();
         }
+        noteEra(m_era.observe(page.value().era, eraCall), kind.kind, page.value().revision);
         if (!kind.progress.acceptPage(call, page.value().revision)) {
             co_return discardedResult(kind.progress, call);
         }
@@ -254,6 +288,7 @@
     // After a failure a short watch detects the recovery at once; a long one would return only at the next change.
     const unsigned activation = m_activation;
     const copy_progress::call_token call = kind.progress.beginCall();
+    const store_era::call_token eraCall = m_era.beginCall();
     auto batch = co_await m_store.watch(kind.kind, kind.progress.revisions().completeThrough, kind.isReachable ? WatchTimeout : ProbeWatchTimeout);
     if (activation != m_activation) {
         co_return inactiveError();
@@ -262,6 +297,7 @@
         const bool isTooLarge = batch.error().code == error_code::TooLarge;
         co_return isTooLarge ? tooManyChangesError(batch.error()) : batch.error();
     }
+    noteEra(m_era.observe(batch.value().era, eraCall), kind.kind, batch.value().revision);
     if (!kind.progress.acceptChanges(call, batch.value().revision)) {
         co_return discardedResult(kind.progress, call);
     }
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -76,6 +76,8 @@
     boost::asio::awaitable<result<void>> readList(watched_kind &kind);
     boost::asio::awaitable<result<void>> watchOnce(watched_kind &kind);
     boost::asio::awaitable<void> waitAfterFailure(watched_kind &kind, std::chrono::milliseconds delay);
+    store_probe::handlers probeHandlers();
+    void noteEra(store_era::verdict verdict, std::string_view source, std::uint64_t revision);
     void dropCalls(clock::time_point begunBefore);
     void onStoreRecovered(clock::time_point lostBefore);
     boost::asio::awaitable<void> fetchFromPeers();
@@ -109,6 +111,8 @@
     std::set<std::string> m_evacuations;
     std::set<std::string> m_unreadableTargets; ///< Ids of unreadable registrations in the store that have been logged.
     store_probe m_probe;
+    store_era m_era;
+    std::optional<std::uint64_t> m_loggedEra; ///< Followed when the last line about the era was written.
     clock::time_point m_callsDroppedAt{};
     bool m_isActive = false;
     unsigned m_activation = 0; ///< Incremented by each setActive() that changes the state; results of calls that began before are dropped.
--- a/node/store_probe.cpp
+++ b/node/store_probe.cpp
@@ -23,10 +23,10 @@
 
 } // namespace
 
-store_probe::store_probe(node_context &context, metadata_store &store, recovery_handler onRecovered)
+store_probe::store_probe(node_context &context, metadata_store &store, handlers callbacks)
     : m_context(context)
     , m_store(store)
-    , m_onRecovered(std::move(onRecovered))
+    , m_handlers(std::move(callbacks))
 {
 }
 
@@ -100,6 +100,7 @@
     }
     if (page) {
         onResponse(startedAt);
+        m_handlers.onResponse(page.value());
     } else {
         onFailure(startedAt);
     }
@@ -114,7 +115,7 @@
     m_isUnreachable = false;
     m_hasLostCalls = false;
     if (hasRecovered) {
-        m_onRecovered(hasLostCalls ? startedAt - LostCallMargin : clock::time_point{});
+        m_handlers.onRecovered(hasLostCalls ? startedAt - LostCallMargin : clock::time_point{});
     }
 }
 
--- a/node/store_probe.h
+++ b/node/store_probe.h
@@ -18,11 +18,15 @@
 public:
     using clock = std::chrono::steady_clock;
 
-    /// Called when the store responds again. Calls that began before the given time are taken to be lost; the clock's epoch means that none are.
-    using recovery_handler = std::function<void(clock::time_point lostBefore)>;
+    struct handlers
+    {
+        /// The store responds again. Calls that began before the given time are taken to be lost; the clock's epoch means that none are.
+        std::function<void(clock::time_point lostBefore)> onRecovered;
+        std::function<void(const object_page &)> onResponse; ///< A probe succeeded; the page may be old.
+    };
 
     /// Precondition: context and store outlive the object.
-    store_probe(node_context &context, metadata_store &store, recovery_handler onRecovered);
+    store_probe(node_context &context, metadata_store &store, handlers callbacks);
 
     /// Precondition: called once; the object exists as long as the io_context runs.
     void start();
@@ -49,7 +53,7 @@
 
     node_context &m_context;
     metadata_store &m_store;
-    recovery_handler m_onRecovered;
+    handlers m_handlers;
     std::multiset<clock::time_point> m_pending; ///< Start times of the probes in flight.
     clock::time_point m_lastStart{};
     clock::time_point m_lastRespondedStart{}; ///< Start time of the newest probe that succeeded.
