--- a/standins/metadata_service.cpp
+++ b/standins/metadata_service.cpp
@@ -150,8 +150,8 @@
         list(connection, kind, after == query.end() ? "" : after->second);
         return;
     }
-    const auto found = m_objects[kind].find(name);
-    if (found == m_objects[kind].end()) {
+    const auto found = m_content.objects[kind].find(name);
+    if (found == m_content.objects[kind].end()) {
         respond(connection, 404, json::object());
         return;
     }
@@ -160,8 +160,8 @@
 
 void metadata_service::list(const pointer &connection, const std::string &kind, const std::string &after)
 {
-    json body{{"items", json::array()}, {"HasMore", false}, {"CurrentRev", m_revision}};
-    const auto &objects = m_objects[kind];
+    json body{{"items", json::array()}, {"HasMore", false}, {"CurrentRev", m_content.revision}};
+    const auto &objects = m_content.objects[kind];
     for (auto it = objects.upper_bound(after); it != objects.end(); ++it) {
         if (body["items"].size() == PageSize) {
             body["HasMore"] = true;
@@ -175,7 +175,7 @@
 json metadata_service::eventsSince(const std::string &kind, std::uint64_t since) const
 {
     json events = json::array();
-    for (const history_entry &entry : m_history) {
+    for (const history_entry &entry : m_content.history) {
         if (entry.revision > since && entry.kind == kind) {
             events.push_back(entry.event);
         }
@@ -185,13 +185,13 @@
 
 void metadata_service::watch(const pointer &connection, const std::string &kind, std::uint64_t since, std::chrono::milliseconds wait)
 {
-    if (since < m_oldestRevision) {
+    if (since < m_content.oldestRevision || since > m_content.revision) {
         respond(connection, 410, json::object());
         return;
     }
     const json events = eventsSince(kind, since);
     if (!events.empty()) {
-        respond(connection, 200, json{{"events", events}, {"CurrentRev", m_revision}});
+        respond(connection, 200, json{{"events", events}, {"CurrentRev", m_content.revision}});
         return;
     }
     const std::uint64_t id = m_nextWatch++;
@@ -202,14 +202,14 @@
         }
         const pointer waiting = found->second.connection;
         m_watches.erase(found);
-        respond(waiting, 200, json{{"events", json::array()}, {"CurrentRev", m_revision}});
+        respond(waiting, 200, json{{"events", json::array()}, {"CurrentRev", m_content.revision}});
     });
     m_watches.emplace(id, pending_watch{connection, kind, since, timer});
 }
 
 void metadata_service::write(const pointer &connection, const std::string &method, const std::string &kind, const std::string &name, const std::string &body)
 {
-    auto &objects = m_objects[kind];
+    auto &objects = m_content.objects[kind];
     if (method == "DELETE") {
         const bool exists = objects.count(name) > 0;
         erase(kind, name);
@@ -249,11 +249,11 @@
 
 std::uint64_t metadata_service::put(const std::string &kind, const std::string &name, json spec)
 {
-    stored_object &object = m_objects[kind][name];
+    stored_object &object = m_content.objects[kind][name];
     if (object.revision > 0 && object.spec == spec) {
         return object.revision;
     }
-    object.revision = ++m_revision;
+    object.revision = ++m_content.revision;
     object.created = object.created == 0 ? object.revision : object.created;
     object.spec = std::move(spec);
     record(kind, name, object, false);
@@ -262,23 +262,23 @@
 
 void metadata_service::erase(const std::string &kind, const std::string &name)
 {
-    auto &objects = m_objects[kind];
+    auto &objects = m_content.objects[kind];
     const auto found = objects.find(name);
     if (found == objects.end()) {
         return;
     }
     stored_object removed = std::move(found->second);
     objects.erase(found);
-    removed.revision = ++m_revision;
+    removed.revision = ++m_content.revision;
     record(kind, name, removed, true);
 }
 
 void metadata_service::record(const std::string &kind, const std::string &name, const stored_object &object, bool isDeleted)
 {
-    m_history.push_back({m_revision, kind, json{{"Deleted", isDeleted}, {"Object", describeObject(name, object)}}});
-    if (m_history.size() > MaxHistoryLength) {
-        m_oldestRevision = m_history.front().revision;
-        m_history.pop_front();
+    m_content.history.push_back({m_content.revision, kind, json{{"Deleted", isDeleted}, {"Object", describeObject(name, object)}}});
+    if (m_content.history.size() > MaxHistoryLength) {
+        m_content.oldestRevision = m_content.history.front().revision;
+        m_content.history.pop_front();
     }
     notifyWatches();
 }
@@ -297,7 +297,7 @@
         m_timers.stop(it->second.timer);
         const pointer waiting = it->second.connection;
         it = m_watches.erase(it);
-        respond(waiting, 200, json{{"events", events}, {"CurrentRev", m_revision}});
+        respond(waiting, 200, json{{"events", events}, {"CurrentRev", m_content.revision}});
     }
 }
 
@@ -313,6 +313,9 @@
     caller_response response;
     response.status = status;
     response.fields.push_back({"Content-Type", "application/json"});
+    if (m_namesEra) {
+        response.fields.push_back({"Store-Era", std::to_string(m_era)});
+    }
     response.body = body.dump();
     connection->respond(response, false);
 }
@@ -335,8 +338,8 @@
 
 void metadata_service::compactHistory()
 {
-    m_history.clear();
-    m_oldestRevision = ++m_revision;
+    m_content.history.clear();
+    m_content.oldestRevision = ++m_content.revision;
     const auto waiting = std::exchange(m_watches, {});
     for (const auto &[id, watch] : waiting) {
         m_timers.stop(watch.timer);
@@ -344,10 +347,34 @@
     }
 }
 
+void metadata_service::takeCopy()
+{
+    m_copy = m_content;
+}
+
+void metadata_service::returnToCopy(waiting_watches watches)
+{
+    m_content = m_copy;
+    ++m_era;
+    if (watches == waiting_watches::Cut) {
+        dropConnections();
+    }
+}
+
+void metadata_service::setNamesEra(bool namesEra)
+{
+    m_namesEra = namesEra;
+}
+
+std::uint64_t metadata_service::revision() const
+{
+    return m_content.revision;
+}
+
 bool metadata_service::holds(const std::string &kind, const std::string &name) const
 {
-    const auto objects = m_objects.find(kind);
-    return objects != m_objects.end() && objects->second.count(name) == 1;
+    const auto objects = m_content.objects.find(kind);
+    return objects != m_content.objects.end() && objects->second.count(name) == 1;
 }
 
 std::uint64_t metadata_service::calls() const
--- a/standins/metadata_service.h
+++ b/standins/metadata_service.h
@@ -25,8 +25,14 @@
     LosingResponses, ///< Executes requests and closes the connection without a response.
 };
 
-/// Stand-in for the platform's metadata store, in memory: objects by kind and name with revisions, paged lists, watches, conditional writes, and a history
-/// that can be compacted. Not thread-safe.
+/// What happens to watches that wait while the store returns from a copy.
+enum class waiting_watches : std::uint8_t {
+    Cut, ///< Their connections are closed, like all others.
+    Kept, ///< They wait on for a later revision than the one that they named.
+};
+
+/// Stand-in for the platform's metadata store, in memory: objects by kind and name with revisions, paged lists, watches, conditional writes, a history that
+/// can be compacted, and a copy of everything from which it can return. Names its era in all responses. Not thread-safe.
 class metadata_service
 {
 public:
@@ -55,6 +61,18 @@
     /// Drops the history: pending watches and later ones from earlier revisions get status 410.
     void compactHistory();
 
+    /// Copies all objects with their revisions and the history.
+    void takeCopy();
+
+    /// Returns to the copy and begins a new era: what was written since is gone, and its revisions are given out again. Watches from a revision that the copy
+    /// doesn't have get status 410. Precondition: takeCopy() was called.
+    void returnToCopy(waiting_watches watches = waiting_watches::Cut);
+
+    /// Sets whether responses name the era; they do until this is called.
+    void setNamesEra(bool namesEra);
+
+    std::uint64_t revision() const;
+
     /// Returns whether requests are executed and get responses.
     bool isUp() const;
 
@@ -86,6 +104,15 @@
         nlohmann::json event;
     };
 
+    /// All that returnToCopy() sets back.
+    struct content
+    {
+        std::map<std::string, std::map<std::string, stored_object>> objects;
+        std::deque<history_entry> history;
+        std::uint64_t revision = 1;
+        std::uint64_t oldestRevision = 0;
+    };
+
     struct pending_watch
     {
         pointer connection;
@@ -110,10 +137,10 @@
     timer_queue &m_timers;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<pointer> m_connections;
-    std::map<std::string, std::map<std::string, stored_object>> m_objects;
-    std::deque<history_entry> m_history;
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_oldestRevision = 0;
+    content m_content;
+    content m_copy;
+    std::uint64_t m_era = 1;
+    bool m_namesEra = true;
     std::map<std::uint64_t, pending_watch> m_watches;
     std::uint64_t m_nextWatch = 1;
     std::uint64_t m_calls = 0;
