--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -24,7 +24,6 @@
 constexpr std::chrono::milliseconds MinListTimeout{400};
 constexpr std::chrono::milliseconds MaxListTimeout{2500};
 constexpr std::chrono::milliseconds ActivationPollInterval{25};
-constexpr std::chrono::milliseconds ExpireInterval{250};
 /// The catalogue is fetched from peers once the store has been failing for this long.
 constexpr std::chrono::milliseconds PeerFallbackDelay{400};
 constexpr std::chrono::milliseconds PeerFetchInterval{700};
@@ -62,6 +61,7 @@
     : m_context(context)
     , m_store(store)
     , m_handlers(std::move(callbacks))
+    , m_applied(context, m_handlers)
     , m_configurationKind(context.io, platform_kind::Configuration)
     , m_targetKind(context.io, platform_kind::Targets)
     , m_evacuationKind(context.io, platform_kind::Evacuations)
@@ -109,7 +109,7 @@
     }
     asio::co_spawn(m_context.io, fetchFromPeers(), asio::detached);
     m_probe.start();
-    expireTargets();
+    m_applied.start();
 }
 
 void catalogue_sync::setActive(bool isActive)
@@ -126,25 +126,16 @@
     m_probe.setActive(isActive);
     dropCalls(clock::now());
     if (!isActive) {
-        discardState();
-    }
-    m_context.log.write(
-        event_class::StateChange, event_line("catalogue", isActive ? "activated" : "deactivated").add("version", m_configurationVersion), clock::now());
-}
-
-void catalogue_sync::discardState()
-{
-    // A request that arrives later must not be routed by a catalogue that isn't synchronised any more.
-    m_isConfigurationPublished = false;
-    m_handlers.onConfiguration(nullptr);
-    for (const std::string &id : m_targets.clear()) {
-        m_handlers.onTargetRemoved(id);
+        m_applied.discard();
     }
+    m_context.log.write(event_class::StateChange,
+                        event_line("catalogue", isActive ? "activated" : "deactivated").add("version", m_applied.configurationVersion()),
+                        clock::now());
 }
 
 bool catalogue_sync::isReady() const
 {
-    return m_isActive && m_isConfigurationPublished && m_targetKind.progress.isComplete() && m_evacuationKind.progress.isComplete();
+    return m_isActive && m_applied.hasConfiguration() && m_targetKind.progress.isComplete() && m_evacuationKind.progress.isComplete();
 }
 
 asio::awaitable<void> catalogue_sync::syncKind(watched_kind &kind)
@@ -271,14 +262,14 @@
         firstRevision = firstRevision == 0 ? page.value().revision : firstRevision;
         for (const store_object &object : page.value().objects) {
             listed.insert(object.name);
-            apply(kind.kind, object, false);
+            m_applied.apply(kind.kind, object, false);
         }
         if (!page.value().hasMore) {
             break;
         }
         after = page.value().lastName;
     }
-    retain(kind.kind, listed);
+    m_applied.retain(kind.kind, listed);
     kind.progress.onListed(firstRevision);
     co_return success();
 }
@@ -302,7 +293,7 @@
         co_return discardedResult(kind.progress, call);
     }
     for (const object_change &change : batch.value().changes) {
-        apply(kind.kind, change.object, change.isDeleted);
+        m_applied.apply(kind.kind, change.object, change.isDeleted);
     }
     const bool hasChanges = !batch.value().changes.empty();
     batch = change_batch{}; // Not kept during the delay.
@@ -312,150 +303,6 @@
     co_return success();
 }
 
-void catalogue_sync::apply(const std::string &kind, const store_object &object, bool isDeleted)
-{
-    if (kind == platform_kind::Configuration) {
-        if (object.name == ConfigurationObject && !isDeleted) {
-            applyConfiguration(object.spec, "store");
-        }
-        return;
-    }
-    if (kind == platform_kind::Targets) {
-        if (isDeleted) {
-            m_unreadableTargets.erase(object.name);
-            markTargetStale(object.name);
-        } else {
-            applyTarget(object.name, object.spec);
-        }
-        return;
-    }
-    std::set<std::string> evacuations = m_evacuations;
-    if (isDeleted) {
-        evacuations.erase(object.name);
-    } else {
-        evacuations.insert(object.name);
-    }
-    applyEvacuations(std::move(evacuations));
-}
-
-void catalogue_sync::retain(const std::string &kind, const std::set<std::string> &listed)
-{
-    if (kind == platform_kind::Evacuations) {
-        applyEvacuations(listed);
-        return;
-    }
-    if (kind == platform_kind::Targets) {
-        retainTargets(listed);
-    }
-}
-
-void catalogue_sync::retainTargets(const std::set<std::string> &listed)
-{
-    std::erase_if(m_unreadableTargets, [&listed](const std::string &id) { return listed.count(id) == 0; });
-    for (const std::string &id : m_targets.markMissingStale(listed, clock::now())) {
-        if (const auto *record = m_targets.find(id)) {
-            m_handlers.onTarget(*record, false);
-        } else {
-            m_handlers.onTargetRemoved(id);
-        }
-    }
-}
-
-void catalogue_sync::applyConfiguration(const json &spec, std::string_view source)
-{
-    const auto decoded = decodeConfiguration(spec);
-    const auto now = clock::now();
-    if (!decoded) {
-        m_context.log.write(event_class::StateChange, event_line("catalogue", "configuration_invalid").add("reason", describe(decoded.error())), now);
-        return;
-    }
-    const std::uint64_t version = decoded.value()->version();
-    // A response that arrives late must not bring back an older version.
-    if (version < m_configurationVersion || (version == m_configurationVersion && m_isConfigurationPublished)) {
-        return;
-    }
-    m_context.log.write(event_class::StateChange,
-                        event_line("catalogue", "configuration_applied")
-                            .add("version", version)
-                            .add("previous", m_configurationVersion)
-                            .add("routes", static_cast<std::uint64_t>(decoded.value()->routes().size()))
-                            .add("source", source),
-                        now);
-    m_configurationVersion = version;
-    m_isConfigurationPublished = true;
-    m_configurationRecord = spec;
-    m_handlers.onConfiguration(decoded.value());
-}
-
-void catalogue_sync::applyTarget(const std::string &id, const json &spec)
-{
-    const auto now = clock::now();
-    const auto decoded = decodeTarget(id, spec);
-    if (!decoded) {
-        if (m_unreadableTargets.insert(id).second) {
-            m_context.log.write(
-                event_class::StateChange, event_line("catalogue", "target_invalid").add("target", id).add("reason", describe(decoded.error())), now);
-        }
-        markTargetStale(id);
-        return;
-    }
-    m_unreadableTargets.erase(id);
-    const target_catalogue::change change = m_targets.apply(decoded.value(), now);
-    if (change == target_catalogue::change::None) {
-        return;
-    }
-    m_handlers.onTarget(*m_targets.find(id), change == target_catalogue::change::Restarted);
-    const registered_target &target = decoded.value();
-    m_context.log.write(event_class::StateChange,
-                        event_line("catalogue", change == target_catalogue::change::Added ? "target_added" : "target_updated")
-                            .add("target", id)
-                            .add("service", target.service)
-                            .add("address", describe(target.address))
-                            .add("draining", target.condition == target_condition::Draining)
-                            .add("warmup_ms", target.warmupLeft.count())
-                            .add("heartbeat", target.heartbeat),
-                        now);
-}
-
-void catalogue_sync::markTargetStale(const std::string &id)
-{
-    const auto now = clock::now();
-    const target_catalogue::change change = m_targets.markStale(id, now);
-    if (change == target_catalogue::change::None) {
-        return;
-    }
-    m_context.log.write(event_class::StateChange, event_line("catalogue", "target_stale").add("target", id), now);
-    if (change == target_catalogue::change::Removed) {
-        m_handlers.onTargetRemoved(id);
-    } else {
-        m_handlers.onTarget(*m_targets.find(id), false);
-    }
-}
-
-void catalogue_sync::expireTargets()
-{
-    const auto now = clock::now();
-    for (const std::string &id : m_targets.expire(now)) {
-        m_context.log.write(event_class::StateChange, event_line("catalogue", "target_removed").add("target", id), now);
-        m_handlers.onTargetRemoved(id);
-    }
-    m_context.timers.start(now + ExpireInterval, [this] { expireTargets(); });
-}
-
-void catalogue_sync::applyEvacuations(std::set<std::string> dataCentres)
-{
-    if (dataCentres == m_evacuations) {
-        return;
-    }
-    m_evacuations = std::move(dataCentres);
-    std::string names;
-    for (const std::string &name : m_evacuations) {
-        names.append(names.empty() ? "" : ",").append(name);
-    }
-    m_context.log.write(event_class::StateChange, event_line("catalogue", "evacuations").add("data_centres", names), clock::now());
-    m_handlers.onEvacuations(m_evacuations);
-}
-
 bool catalogue_sync::isStoreReachable() const
 {
     return m_isActive && !hasStoreOutage();
@@ -510,20 +357,15 @@
         m_context.metrics.add("catalogue_from_peer_malformed_total");
     }
     if (isConfigurationReadable && m_configurationKind.progress.acceptPeerCopy(offered.configuration->revisions)) {
-        applyConfiguration(offered.configuration->content, "peer");
+        m_applied.applyConfiguration(offered.configuration->content, "peer");
         logAdopted(m_configurationKind);
     }
     if (offered.targets && m_targetKind.progress.acceptPeerCopy(offered.targets->revisions)) {
-        std::set<std::string> listed;
-        for (const auto &[id, spec] : offered.targets->content) {
-            listed.insert(id);
-            applyTarget(id, spec);
-        }
-        retainTargets(listed);
+        m_applied.replaceTargets(offered.targets->content);
         logAdopted(m_targetKind);
     }
     if (offered.evacuations && m_evacuationKind.progress.acceptPeerCopy(offered.evacuations->revisions)) {
-        applyEvacuations(offered.evacuations->content);
+        m_applied.replaceEvacuations(offered.evacuations->content);
         logAdopted(m_evacuationKind);
     }
 }
@@ -540,17 +382,6 @@
                         clock::now());
 }
 
-std::map<std::string, json> catalogue_sync::targetRecords() const
-{
-    std::map<std::string, json> encoded;
-    for (const auto &[id, record] : m_targets.records()) {
-        if (!record.isStale) {
-            encoded.emplace(id, encodeTarget(record.target));
-        }
-    }
-    return encoded;
-}
-
 std::optional<catalogue_snapshot> catalogue_sync::snapshot(const known_revisions &peer) const
 {
     // While the store is unreachable, this instance asks others itself.
@@ -559,13 +390,13 @@
     }
     catalogue_snapshot held;
     if (m_configurationKind.progress.revisions().completeThrough > peer.configuration) {
-        held.configuration = {m_configurationKind.progress.revisions(), m_configurationRecord};
+        held.configuration = {m_configurationKind.progress.revisions(), m_applied.configurationRecord()};
     }
     if (m_targetKind.progress.revisions().completeThrough > peer.targets) {
-        held.targets = {m_targetKind.progress.revisions(), targetRecords()};
+        held.targets = {m_targetKind.progress.revisions(), m_applied.targetRecords()};
     }
     if (m_evacuationKind.progress.revisions().completeThrough > peer.evacuations) {
-        held.evacuations = {m_evacuationKind.progress.revisions(), m_evacuations};
+        held.evacuations = {m_evacuationKind.progress.revisions(), m_applied.evacuations()};
     }
     return held;
 }
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalogue/catalogue.h"
+#include "node/applied_catalogue.h"
 #include "node/catalogue_snapshot.h"
 #include "node/node_context.h"
 #include "node/store_probe.h"
@@ -24,12 +25,8 @@
 public:
     using clock = std::chrono::steady_clock;
 
-    struct handlers
+    struct handlers : applied_catalogue::handlers
     {
-        std::function<void(std::shared_ptr<const routing_configuration>)> onConfiguration; ///< nullptr: there is no active configuration.
-        std::function<void(const target_catalogue::record &, bool hasRestarted)> onTarget; ///< A target was added or its record has changed.
-        std::function<void(const std::string &id)> onTargetRemoved;
-        std::function<void(std::set<std::string>)> onEvacuations; ///< Names of all evacuated data centres, after each change.
         /// Targets can be read from the store for the first time or after an outage; some may not have registered again yet.
         std::function<void()> onTargetListRecovered;
         std::function<std::vector<endpoint>()> peers; ///< Internal addresses of peers, in the order in which to try them.
@@ -84,32 +81,16 @@
     boost::asio::awaitable<void> fetchFromPeer(endpoint peer);
     void adopt(const catalogue_snapshot &offered);
     void logAdopted(const watched_kind &kind);
-    /// Returns the registrations in the store's format, by id, without those that have disappeared.
-    std::map<std::string, nlohmann::json> targetRecords() const;
     void recordResult(watched_kind &kind, const result<void> &outcome);
-    void apply(const std::string &kind, const store_object &object, bool isDeleted);
-    void retain(const std::string &kind, const std::set<std::string> &listed);
-    void retainTargets(const std::set<std::string> &listed);
-    void applyConfiguration(const nlohmann::json &spec, std::string_view source);
-    void applyTarget(const std::string &id, const nlohmann::json &spec);
-    void markTargetStale(const std::string &id);
-    void expireTargets();
-    void discardState();
-    void applyEvacuations(std::set<std::string> dataCentres);
     bool hasStoreOutage() const;
 
     node_context &m_context;
     metadata_store &m_store;
     handlers m_handlers;
+    applied_catalogue m_applied;
     watched_kind m_configurationKind;
     watched_kind m_targetKind;
     watched_kind m_evacuationKind;
-    target_catalogue m_targets;
-    nlohmann::json m_configurationRecord;
-    std::uint64_t m_configurationVersion = 0; ///< Newest version that was applied, also before a deactivation; older ones are ignored.
-    bool m_isConfigurationPublished = false; ///< onConfiguration was called with a configuration since the last activation.
-    std::set<std::string> m_evacuations;
-    std::set<std::string> m_unreadableTargets; ///< Ids of unreadable registrations in the store that have been logged.
     store_probe m_probe;
     store_era m_era;
     std::optional<std::uint64_t> m_loggedEra; ///< Followed when the last line about the era was written.
