Let evacuations that the store lost hold until they can have been written again

What callers saw: after the store came back from an older copy, requests went to a data centre whose evacuation had been acknowledged, until the operator's entry was written again (EVAC).

Cause: a list was applied as it was; in another era it may lack what the store had acknowledged.

Peers get what is listed, since they would never hear of the end of what the era never had.

--- a/node/applied_catalogue.cpp
+++ b/node/applied_catalogue.cpp
@@ -20,7 +20,7 @@
 
 void applied_catalogue::start()
 {
-    expireTargets();
+    expire();
 }
 
 void applied_catalogue::discard()
@@ -50,13 +50,12 @@
         }
         return;
     }
-    std::set<std::string> evacuations = m_evacuations;
     if (isDeleted) {
-        evacuations.erase(object.name);
+        m_evacuations.erase(object.name);
     } else {
-        evacuations.insert(object.name);
+        m_evacuations.insert(object.name);
     }
-    replaceEvacuations(std::move(evacuations));
+    publishEvacuations();
 }
 
 void applied_catalogue::retain(const std::string &kind, const std::set<std::string> &listed)
@@ -163,28 +162,49 @@
     }
 }
 
-void applied_catalogue::expireTargets()
+void applied_catalogue::beginEra()
+{
+    m_evacuations.beginEra(clock::now());
+}
+
+void applied_catalogue::expire()
 {
     const auto now = clock::now();
+    expireTargets(now);
+    m_evacuations.expire(now);
+    if (m_hasConfiguration) {
+        publishEvacuations();
+    }
+    m_context.timers.start(now + ExpireInterval, [this] { expire(); });
+}
+
+void applied_catalogue::expireTargets(clock::time_point now)
+{
     for (const std::string &id : m_targets.expire(now)) {
         m_context.log.write(event_class::StateChange, event_line("catalogue", "target_removed").add("target", id), now);
         m_handlers.onTargetRemoved(id);
     }
-    m_context.timers.start(now + ExpireInterval, [this] { expireTargets(); });
 }
 
 void applied_catalogue::replaceEvacuations(std::set<std::string> dataCentres)
 {
-    if (dataCentres == m_evacuations) {
+    m_evacuations.replace(std::move(dataCentres));
+    publishEvacuations();
+}
+
+void applied_catalogue::publishEvacuations()
+{
+    std::set<std::string> inForce = m_evacuations.inForce();
+    if (inForce == m_publishedEvacuations) {
         return;
     }
-    m_evacuations = std::move(dataCentres);
+    m_publishedEvacuations = std::move(inForce);
     std::string names;
-    for (const std::string &name : m_evacuations) {
+    for (const std::string &name : m_publishedEvacuations) {
         names.append(names.empty() ? "" : ",").append(name);
     }
     m_context.log.write(event_class::StateChange, event_line("catalogue", "evacuations").add("data_centres", names), clock::now());
-    m_handlers.onEvacuations(m_evacuations);
+    m_handlers.onEvacuations(m_publishedEvacuations);
 }
 
 std::map<std::string, json> applied_catalogue::targetRecords() const
@@ -215,7 +235,7 @@
 
 const std::set<std::string> &applied_catalogue::evacuations() const
 {
-    return m_evacuations;
+    return m_evacuations.listed();
 }
 
 } // namespace balsamhook
--- a/node/applied_catalogue.h
+++ b/node/applied_catalogue.h
@@ -34,7 +34,8 @@
     /// Precondition: the context outlives the object.
     applied_catalogue(node_context &context, handlers callbacks);
 
-    /// Starts to remove targets whose grace period has ended. Precondition: called once; the object exists as long as the io_context runs.
+    /// Starts to remove targets whose grace period has ended, and evacuations that were not written again. Precondition: called once; the object exists as long
+    /// as the io_context runs.
     void start();
 
     /// Applies an object of one kind that was listed or has changed.
@@ -49,8 +50,12 @@
     /// Replaces all targets by a peer's, given in the store's format by id.
     void replaceTargets(const std::map<std::string, nlohmann::json> &specs);
 
+    /// Replaces the evacuations that are listed in the store.
     void replaceEvacuations(std::set<std::string> dataCentres);
 
+    /// The store has come back from an older copy: what it lacks holds until it can have been written again.
+    void beginEra();
+
     /// Drops the configuration and the targets.
     void discard();
 
@@ -66,13 +71,16 @@
     /// Returns the registrations in the store's format, by id, without those that have disappeared.
     std::map<std::string, nlohmann::json> targetRecords() const;
 
+    /// Returns the evacuations that are listed in the store.
     const std::set<std::string> &evacuations() const;
 
 private:
     void applyTarget(const std::string &id, const nlohmann::json &spec);
     void markTargetStale(const std::string &id);
     void retainTargets(const std::set<std::string> &listed);
-    void expireTargets();
+    void expire();
+    void expireTargets(clock::time_point now);
+    void publishEvacuations();
 
     node_context &m_context;
     handlers m_handlers;
@@ -81,7 +89,8 @@
     nlohmann::json m_configurationRecord;
     std::uint64_t m_configurationVersion = 0;
     bool m_hasConfiguration = false;
-    std::set<std::string> m_evacuations;
+    evacuation_set m_evacuations;
+    std::set<std::string> m_publishedEvacuations;
 };
 
 } // namespace balsamhook
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -103,6 +103,7 @@
         kind->progress.beginEra();
         kind->retryTimer.cancel();
     }
+    m_applied.beginEra();
     // Watches from revisions of the earlier era would wait for changes that can't be told from those.
     dropCalls(clock::now());
     m_handlers.onTargetListRecovered();
--- a/node/store_restored_test.cpp
+++ b/node/store_restored_test.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::chrono::milliseconds ApplyBound{3000}; ///< In which a configuration, and the state of a target, must be applied.
+constexpr std::chrono::milliseconds RewriteTime{2000}; ///< In which the operator and the targets write again what the copy lacks.
 
 /// How an instance meets the store that has returned from its copy.
 enum class encounter : std::uint8_t {
@@ -167,3 +168,41 @@
     CHECK_FALSE(fixture.sync->snapshot({era, 9000, 9000, 9000}).value().targets.has_value());
     CHECK_FALSE(fixture.sync->snapshot({era.value() + 1, 0, 0, 0}).has_value());
 }
+
+TEST_CASE("store_restored: an evacuation that the copy doesn't have holds until it can have been written again (its data centre got requests meanwhile: EVAC)")
+{
+    for (const encounter met : Encounters) {
+        CAPTURE(static_cast<int>(met));
+        restored_fixture fixture;
+        fixture.startAndCopy();
+        fixture.standin.put("evacuations", "dc2", json::object());
+        REQUIRE(fixture.runUntil([&] { return fixture.evacuated.count("dc2") == 1; }));
+        fixture.returnToCopy(met, [] {});
+        bool wasDropped = false;
+        fixture.runUntil(
+            [&] {
+                wasDropped = wasDropped || fixture.evacuated.count("dc2") == 0;
+                return wasDropped;
+            },
+            RewriteTime);
+        fixture.standin.put("evacuations", "dc2", json::object());
+        fixture.runFor(300ms);
+        CHECK_FALSE(wasDropped);
+        fixture.standin.erase("evacuations", "dc2");
+        CHECK(fixture.runUntil([&] { return fixture.evacuated.count("dc2") == 0; }, ApplyBound));
+    }
+}
+
+TEST_CASE("store_restored: an evacuation that was taken back while the store was away ends in bounded time, and so does one that the copy brings back")
+{
+    restored_fixture fixture;
+    fixture.startAndCopy();
+    fixture.standin.put("evacuations", "dc2", json::object());
+    fixture.standin.erase("evacuations", "lifted");
+    REQUIRE(fixture.runUntil([&] { return fixture.evacuated == std::set<std::string>{"dc2"}; }));
+    fixture.returnToCopy(encounter::Below, [] {});
+    REQUIRE(fixture.runUntil([&] { return fixture.evacuated == std::set<std::string>{"dc2", "lifted"}; }, ApplyBound));
+    fixture.standin.erase("evacuations", "lifted");
+    CHECK(fixture.runUntil([&] { return fixture.evacuated == std::set<std::string>{"dc2"}; }, ApplyBound));
+    CHECK(fixture.runUntil([&] { return fixture.evacuated.empty(); }, 10s));
+}
