Don't use targets again that the older copy shows as ready

What callers saw: after the store came back from an older copy, targets that had ended, or whose draining had been acknowledged with the same sequence number, stood in the list as ready again and got requests (DRAIN; lost requests).

Cause: a registration that is there again was taken for a sign of life. In an older copy it is the old entry.

Change: target_catalogue remembers for a minute what a removed target last wrote. For the lifetime of a registration after a change of era (three heartbeats and a second), one that had disappeared and isn't newer than that is in doubt: it isn't used until the target writes it again, or until it has outlived its lifetime. A registration that is ready counts as older than one that drains with the same sequence number.

--- a/catalogue/target_catalogue.cpp
+++ b/catalogue/target_catalogue.cpp
@@ -1,5 +1,6 @@
 #include "catalogue/target_catalogue.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace balsamhook
@@ -7,13 +8,20 @@
 
 target_catalogue::change target_catalogue::apply(const registered_target &entry, clock::time_point now)
 {
+    if (isInDoubt(entry, now)) {
+        m_inDoubt.insert_or_assign(entry.id, entry);
+        return change::None;
+    }
+    m_inDoubt.erase(entry.id);
+    m_ended.erase(entry.id);
     const auto found = m_records.find(entry.id);
     if (found == m_records.end()) {
         m_records.emplace(entry.id, record{entry, now, false, {}});
         return change::Added;
     }
     record &known = found->second;
-    const bool isOutdated = std::tie(entry.startedAt, entry.heartbeat) < std::tie(known.target.startedAt, known.target.heartbeat);
+    const registered_target &last = known.target;
+    const bool isOutdated = std::tie(entry.startedAt, entry.heartbeat, entry.condition) < std::tie(last.startedAt, last.heartbeat, last.condition);
     if (isOutdated || (entry == known.target && !known.isStale)) {
         return change::None;
     }
@@ -22,15 +30,67 @@
     return restarted ? change::Restarted : change::Updated;
 }
 
+bool target_catalogue::isInDoubt(const registered_target &entry, clock::time_point now) const
+{
+    if (now >= m_doubtUntil) {
+        return false;
+    }
+    if (const auto known = m_records.find(entry.id); known != m_records.end()) {
+        const registered_target &last = known->second.target;
+        return known->second.isStale && std::tie(entry.startedAt, entry.heartbeat) <= std::tie(last.startedAt, last.heartbeat);
+    }
+    const auto ended = m_ended.find(entry.id);
+    return ended != m_ended.end() && std::tie(entry.startedAt, entry.heartbeat) <= std::tie(ended->second.startedAt, ended->second.heartbeat);
+}
+
+void target_catalogue::recordLast(const registered_target &entry)
+{
+    const auto known = m_records.find(entry.id);
+    if (known != m_records.end() && known->second.target.startedAt == entry.startedAt) {
+        known->second.target.heartbeat = std::max(known->second.target.heartbeat, entry.heartbeat);
+    }
+}
+
+void target_catalogue::beginEra(clock::time_point now, std::chrono::milliseconds registrationLifetime)
+{
+    m_doubtUntil = now + registrationLifetime;
+    m_inDoubt.clear();
+}
+
+std::vector<registered_target> target_catalogue::takeConfirmed(clock::time_point now)
+{
+    std::vector<registered_target> confirmed;
+    if (now < m_doubtUntil) {
+        return confirmed;
+    }
+    for (auto &[id, entry] : m_inDoubt) {
+        confirmed.push_back(std::move(entry));
+    }
+    m_inDoubt.clear();
+    return confirmed;
+}
+
+const std::map<std::string, registered_target> &target_catalogue::inDoubt() const
+{
+    return m_inDoubt;
+}
+
+std::map<std::string, target_catalogue::record>::iterator target_catalogue::end(std::map<std::string, record>::iterator known, clock::time_point now)
+{
+    m_ended[known->first] = {known->second.target.startedAt, known->second.target.heartbeat, now};
+    return m_records.erase(known);
+}
+
 target_catalogue::change target_catalogue::markStale(const std::string &id, clock::time_point now)
 {
+    m_inDoubt.erase(id);
     const auto found = m_records.find(id);
     if (found == m_records.end()) {
         return change::None;
     }
     record &known = found->second;
     if (known.target.condition == target_condition::Draining) {
-        m_records.erase(found);
+        end(found, now);
         return change::Removed;
     }
     if (known.isStale) {
@@ -43,6 +103,7 @@
 
 std::vector<std::string> target_catalogue::markMissingStale(const std::set<std::string> &present, clock::time_point now)
 {
+    std::erase_if(m_inDoubt, [&present](const auto &entry) { return present.count(entry.first) == 0; });
     std::vector<std::string> missing;
     for (const auto &[id, known] : m_records) {
         if (present.count(id) == 0) {
@@ -57,11 +118,12 @@
 
 std::vector<std::string> target_catalogue::expire(clock::time_point now)
 {
+    std::erase_if(m_ended, [now](const auto &entry) { return now - entry.second.endedAt >= EndedRetentionPeriod; });
     std::vector<std::string> removed;
     for (auto it = m_records.begin(); it != m_records.end();) {
         if (it->second.isStale && now - it->second.staleSince >= StaleGracePeriod) {
             removed.push_back(it->first);
-            it = m_records.erase(it);
+            it = end(it, now);
         } else {
             ++it;
         }
@@ -77,6 +139,8 @@
         removed.push_back(id);
     }
     m_records.clear();
+    m_ended.clear();
+    m_inDoubt.clear();
     return removed;
 }
 
--- a/catalogue/target_catalogue.h
+++ b/catalogue/target_catalogue.h
@@ -13,6 +13,7 @@
 namespace balsamhook
 {
 
+/// In the order in which a process goes through them.
 enum class target_condition : std::uint8_t {
     Ready,
     Draining, ///< Shuts down soon; gets no new requests.
@@ -34,8 +35,9 @@
     bool operator==(const registered_target &other) const = default;
 };
 
-/// The usable targets, derived from the registrations in the store. The store may lag, lose registrations and contain those of ended processes.
-/// Pure logic; not thread-safe.
+/// The usable targets, derived from the registrations in the store. The store may lag, lose registrations and contain those of ended processes, above all
+/// after it has come back from an older copy: a registration that had disappeared before and stands there again is then in doubt, and not used, until the
+/// target writes it again. Pure logic; not thread-safe.
 class target_catalogue
 {
 public:
@@ -61,9 +63,25 @@
     /// come back within about two seconds.
     static constexpr std::chrono::milliseconds StaleGracePeriod{2000};
 
-    /// Applies a registration. Ignores a registration that is older than the known one (by start and heartbeat).
+    /// Targets that were removed are remembered for this period, in case that the store comes back from a copy that is about as old.
+    static constexpr std::chrono::seconds EndedRetentionPeriod{60};
+
+    /// Applies a registration. Ignores a registration that is older than the known one (by start, heartbeat and condition), or in doubt.
     change apply(const registered_target &entry, clock::time_point now);
 
+    /// The registration that was deleted last said this; its heartbeat tells an older one apart. Precondition: called before markStale().
+    void recordLast(const registered_target &entry);
+
+    /// The store has begun another era. A registration that stands there after the given lifetime of registrations was written again, and is no longer in
+    /// doubt.
+    void beginEra(clock::time_point now, std::chrono::milliseconds registrationLifetime);
+
+    /// Returns the registrations whose doubt has ended, to be applied.
+    std::vector<registered_target> takeConfirmed(clock::time_point now);
+
+    /// Returns the registrations that are in doubt, by id.
+    const std::map<std::string, registered_target> &inDoubt() const;
+
     /// Marks a target as stale after its registration was deleted or became unreadable. A draining target is removed at once.
     change markStale(const std::string &id, clock::time_point now);
 
@@ -82,7 +100,21 @@
     const std::map<std::string, record> &records() const;
 
 private:
+    /// What a target that was removed last wrote.
+    struct ended_target
+    {
+        std::int64_t startedAt = 0;
+        std::int64_t heartbeat = 0;
+        clock::time_point endedAt{};
+    };
+
+    bool isInDoubt(const registered_target &entry, clock::time_point now) const;
+    std::map<std::string, record>::iterator end(std::map<std::string, record>::iterator known, clock::time_point now);
+
     std::map<std::string, record> m_records;
+    std::map<std::string, ended_target> m_ended;
+    std::map<std::string, registered_target> m_inDoubt;
+    clock::time_point m_doubtUntil{};
 };
 
 } // namespace balsamhook
--- a/node/applied_catalogue.cpp
+++ b/node/applied_catalogue.cpp
@@ -9,6 +9,10 @@
 {
 
 constexpr std::chrono::milliseconds ExpireInterval{250};
+/// The store removes a registration after as many heartbeat intervals without a write.
+constexpr int HeartbeatsPerRegistration = 3;
+/// Time that the removal of a registration takes to arrive here.
+constexpr std::chrono::milliseconds RegistrationMargin{1000};
 
 } // namespace
 
@@ -44,6 +48,9 @@
     if (kind == platform_kind::Targets) {
         if (isDeleted) {
             m_unreadableTargets.erase(object.name);
+            if (const auto last = decodeTarget(object.name, object.spec)) {
+                m_targets.recordLast(last.value());
+            }
             markTargetStale(object.name);
         } else {
             applyTarget(object.name, object.spec);
@@ -120,15 +127,20 @@
         return;
     }
     m_unreadableTargets.erase(id);
-    const target_catalogue::change change = m_targets.apply(decoded.value(), now);
+    applyRegistration(decoded.value());
+}
+
+void applied_catalogue::applyRegistration(const registered_target &target)
+{
+    const auto now = clock::now();
+    const target_catalogue::change change = m_targets.apply(target, now);
     if (change == target_catalogue::change::None) {
         return;
     }
-    m_handlers.onTarget(*m_targets.find(id), change == target_catalogue::change::Restarted);
-    const registered_target &target = decoded.value();
+    m_handlers.onTarget(*m_targets.find(target.id), change == target_catalogue::change::Restarted);
     m_context.log.write(event_class::StateChange,
                         event_line("catalogue", change == target_catalogue::change::Added ? "target_added" : "target_updated")
-                            .add("target", id)
+                            .add("target", target.id)
                             .add("service", target.service)
                             .add("address", describe(target.address))
                             .add("draining", target.condition == target_condition::Draining)
@@ -164,7 +176,9 @@
 
 void applied_catalogue::beginEra()
 {
-    m_evacuations.beginEra(clock::now());
+    const auto now = clock::now();
+    m_evacuations.beginEra(now);
+    m_targets.beginEra(now, m_context.settings.targetHeartbeat * HeartbeatsPerRegistration + RegistrationMargin);
 }
 
 void applied_catalogue::expire()
@@ -184,6 +198,9 @@
         m_context.log.write(event_class::StateChange, event_line("catalogue", "target_removed").add("target", id), now);
         m_handlers.onTargetRemoved(id);
     }
+    for (const registered_target &target : m_targets.takeConfirmed(now)) {
+        applyRegistration(target);
+    }
 }
 
 void applied_catalogue::replaceEvacuations(std::set<std::string> dataCentres)
@@ -215,6 +232,9 @@
             encoded.emplace(id, encodeTarget(record.target));
         }
     }
+    for (const auto &[id, target] : m_targets.inDoubt()) {
+        encoded.emplace(id, encodeTarget(target));
+    }
     return encoded;
 }
 
--- a/node/applied_catalogue.h
+++ b/node/applied_catalogue.h
@@ -53,7 +53,7 @@
     /// Replaces the evacuations that are listed in the store.
     void replaceEvacuations(std::set<std::string> dataCentres);
 
-    /// The store has come back from an older copy: what it lacks holds until it can have been written again.
+    /// The store has come back from an older copy: what it lacks holds until it can have been written again, and what had ended before isn't used.
     void beginEra();
 
     /// Drops the configuration and the targets.
@@ -68,7 +68,7 @@
     /// Returns the configuration in the store's format.
     const nlohmann::json &configurationRecord() const;
 
-    /// Returns the registrations in the store's format, by id, without those that have disappeared.
+    /// Returns the registrations in the store's format, by id, as the store lists them: without those that have disappeared, with those in doubt.
     std::map<std::string, nlohmann::json> targetRecords() const;
 
     /// Returns the evacuations that are listed in the store.
@@ -76,6 +76,7 @@
 
 private:
     void applyTarget(const std::string &id, const nlohmann::json &spec);
+    void applyRegistration(const registered_target &target);
     void markTargetStale(const std::string &id);
     void retainTargets(const std::set<std::string> &listed);
     void expire();
--- a/node/store_restored_test.cpp
+++ b/node/store_restored_test.cpp
@@ -206,3 +206,44 @@
     CHECK(fixture.runUntil([&] { return fixture.evacuated == std::set<std::string>{"dc2"}; }, ApplyBound));
     CHECK(fixture.runUntil([&] { return fixture.evacuated.empty(); }, 10s));
 }
+
+TEST_CASE("store_restored: a target that drained or ended before isn't used again because the copy shows it ready (it got requests again: DRAIN)")
+{
+    for (const encounter met : Encounters) {
+        CAPTURE(static_cast<int>(met));
+        restored_fixture fixture;
+        fixture.startAndCopy();
+        fixture.standin.put("servers", "t1", targetSpec("s0", 5, "draining"));
+        fixture.standin.erase("servers", "ended");
+        REQUIRE(fixture.runUntil([&] { return fixture.targets["t1"].target.condition == target_condition::Draining && fixture.targets.count("ended") == 0; }));
+        fixture.standin.erase("servers", "t2");
+        REQUIRE(fixture.runUntil([&] { return fixture.targets["t2"].isStale; }));
+        fixture.returnToCopy(met, [] {});
+        bool wasUsed = false;
+        fixture.runUntil(
+            [&] {
+                const bool isStaleOrGone = fixture.targets.count("t2") == 0 || fixture.targets["t2"].isStale;
+                wasUsed = wasUsed || fixture.targets["t1"].target.condition == target_condition::Ready || fixture.targets.count("ended") == 1 || !isStaleOrGone;
+                return wasUsed;
+            },
+            RewriteTime);
+        CHECK_FALSE(wasUsed);
+        CHECK(fixture.targets["t0"].target.condition == target_condition::Ready);
+    }
+}
+
+TEST_CASE("store_restored: a target that the copy brings back is used as soon as it writes again, or when it has outlived the end of its registration")
+{
+    restored_fixture fixture;
+    fixture.startAndCopy();
+    fixture.standin.erase("servers", "ended");
+    fixture.standin.erase("servers", "t2");
+    REQUIRE(fixture.runUntil([&] { return fixture.targets.count("ended") + fixture.targets.count("t2") == 0; }));
+    fixture.returnToCopy(encounter::Below, [] {});
+    fixture.runFor(500ms);
+    CHECK(fixture.targets.count("ended") + fixture.targets.count("t2") == 0);
+    fixture.standin.put("servers", "t2", targetSpec("s0", 6));
+    CHECK(fixture.runUntil([&] { return fixture.targets.count("t2") == 1; }, 1s));
+    CHECK(fixture.targets.count("ended") == 0);
+    CHECK(fixture.runUntil([&] { return fixture.targets.count("ended") == 1; }, 10s));
+}
