Register instances again when the store has lost their entries

What operators would see: after the store came back from an older copy, entries of kind members were missing for up to 15 s; a loss of power in that time left instances whose seeds are gone alone, and the refusals of crashing requests were lost with the entries.

Cause: an entry counted as written once its write had succeeded; only the list of members, each 15 s, showed that it was gone.

A write whose answer crosses the change is repeated, a list of members that does is dropped, and no entry is removed by a revision of the earlier era.

Evidence: two tests in peer_task_test failed on the code before with an onStoreRestored() that does nothing, and pass.

--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -107,6 +107,7 @@
     // Watches from revisions of the earlier era would wait for changes that can't be told from those.
     dropCalls(clock::now());
     m_handlers.onTargetListRecovered();
+    m_handlers.onStoreRestored();
 }
 
 void catalogue_sync::discardAnswer(const watched_kind &kind, copy_progress::call_token call, std::uint64_t revision)
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -30,6 +30,7 @@
     {
         /// Targets can be read from the store for the first time, after an outage or in another era; some may not have registered again yet.
         std::function<void()> onTargetListRecovered;
+        std::function<void()> onStoreRestored; ///< The store has come back from an older copy and may lack what was written there before.
         std::function<std::vector<endpoint>()> peers; ///< Internal addresses of peers, in the order in which to try them.
     };
 
--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -250,6 +250,7 @@
     handlers.onTargetRemoved = [](const std::string &) {};
     handlers.onEvacuations = [](const std::set<std::string> &) {};
     handlers.onTargetListRecovered = [] {};
+    handlers.onStoreRestored = [] {};
     handlers.peers = [&] { return std::vector<endpoint>{internal}; };
     catalogue_sync isolated(connected.context, unreachable, std::move(handlers));
     isolated.setActive(true);
--- a/node/catalogue_test_support.h
+++ b/node/catalogue_test_support.h
@@ -82,6 +82,7 @@
         handlers.onTargetRemoved = [this](const std::string &id) { targets.erase(id); };
         handlers.onEvacuations = [this](std::set<std::string> names) { evacuated = std::move(names); };
         handlers.onTargetListRecovered = [] {};
+        handlers.onStoreRestored = [this] { ++restorations; };
         handlers.peers = [this] { return peers; };
         return std::make_unique<catalogue_sync>(context, usedStore, std::move(handlers));
     }
@@ -107,6 +108,7 @@
     std::map<std::string, target_catalogue::record> targets;
     std::set<std::string> evacuated;
     std::vector<endpoint> peers;
+    int restorations = 0; ///< Calls of onStoreRestored.
 };
 
 /// Hands out one text to peers that can't reach the store.
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t MaxDataCentresPerHeartbeat = 16;
 constexpr std::chrono::milliseconds IsolatedMemberListInterval{2000}; ///< While no peer is alive.
 constexpr std::chrono::milliseconds RegistrationDelay{1500}; ///< By then most instances have discovered each other through the seeds.
+/// Instances write their entries again at random times within this period after the store lost them, so that it isn't called by all of a fleet at once.
+constexpr std::chrono::milliseconds ReregistrationPeriod{1500};
 constexpr std::chrono::milliseconds DiscoveryTimeout{1500};
 constexpr std::chrono::milliseconds MinDiscoveryPeriod{150};
 constexpr std::chrono::milliseconds QuietPeriod{100}; ///< Time without a new peer after which discovery counts as complete.
@@ -402,7 +404,7 @@
     // Senders are registered so that an instance can discover peers when none of its seeds is running.
     // The entry also holds the refused requests, which have to survive a restart of all instances.
     const bool isCurrent = m_isRegistered && m_storedDecisions == m_context.crashes.decisions();
-    if (!isCurrent && !m_isRegistering && isSender()) {
+    if (!isCurrent && !m_isRegistering && isSender() && now >= m_registrationDueAt) {
         m_isRegistering = true;
         m_isRegistered = false;
         asio::co_spawn(m_context.io, registerInStore(), asio::detached);
@@ -416,6 +418,13 @@
     }
 }
 
+void peer_task::onStoreRestored()
+{
+    ++m_storeRestorations;
+    m_isRegistered = false;
+    m_registrationDueAt = clock::now() + std::chrono::duration_cast<std::chrono::milliseconds>(ReregistrationPeriod * m_context.draw());
+}
+
 nlohmann::json peer_task::registration() const
 {
     member_record record;
@@ -433,6 +442,7 @@
     m_storedDecisions = m_context.crashes.decisions();
     const nlohmann::json spec = registration();
     while (!m_isRegistered) {
+        const unsigned restorations = m_storeRestorations;
         auto written = co_await m_store.create(MemberKind, m_context.settings.instance, spec);
         if (*isTaskAlive && !written && written.error().code == error_code::Conflict) {
             written = co_await m_store.replace(MemberKind, m_context.settings.instance, spec);
@@ -440,10 +450,14 @@
         if (!*isTaskAlive) {
             co_return;
         }
-        m_isRegistered = written.has_value();
+        const bool isLost = restorations != m_storeRestorations;
+        m_isRegistered = written.has_value() && !isLost;
         if (m_isRegistered) {
             break;
         }
+        if (isLost) {
+            continue;
+        }
         m_context.log.write(event_class::StateChange, event_line("peers", "registration_failed").add("reason", describe(written.error())), clock::now());
         co_await sleepFor(m_context.io, delay);
         if (!*isTaskAlive) {
@@ -457,6 +471,7 @@
 asio::awaitable<void> peer_task::readMembers()
 {
     const auto isTaskAlive = m_isTaskAlive;
+    const unsigned restorations = m_storeRestorations;
     std::vector<store_object> registered;
     std::string after;
     bool hasMore = true;
@@ -474,12 +489,15 @@
         after = page.value().lastName;
         std::move(page.value().objects.begin(), page.value().objects.end(), std::back_inserter(registered));
     }
-    co_await processMembers(std::move(registered));
+    co_await processMembers(std::move(registered), restorations);
 }
 
-asio::awaitable<void> peer_task::processMembers(std::vector<store_object> registered)
+asio::awaitable<void> peer_task::processMembers(std::vector<store_object> registered, unsigned restorations)
 {
     const auto isTaskAlive = m_isTaskAlive;
+    if (restorations != m_storeRestorations) {
+        co_return;
+    }
     m_registeredCount = registered.size();
     const auto localEntry
         = std::find_if(registered.begin(), registered.end(), [this](const store_object &object) { return object.name == m_context.settings.instance; });
@@ -495,6 +513,10 @@
             if (!*isTaskAlive) {
                 co_return;
             }
+            // The revisions may have been given to other entries since.
+            if (restorations != m_storeRestorations) {
+                co_return;
+            }
             m_context.log.write(event_class::StateChange,
                                 event_line("peers", "member_removed").add("peer", object.name).add("result", removed ? "removed" : "failed"),
                                 clock::now());
--- a/node/peer_task.h
+++ b/node/peer_task.h
@@ -49,6 +49,9 @@
     /// Announces a change of isServing or isImpaired at once, a standby instance to the senders, a sender to all; other changes go out with the next heartbeat.
     void setStatus(instance_status status);
 
+    /// To be called when the store has come back from an older copy, which may lack this instance's entry: writes it again after a random delay.
+    void onStoreRestored();
+
     const peer_table &peers() const;
 
     /// Instances that run callers' requests, selected from those that are alive.
@@ -89,7 +92,7 @@
     nlohmann::json registration() const;
     boost::asio::awaitable<void> registerInStore();
     boost::asio::awaitable<void> readMembers();
-    boost::asio::awaitable<void> processMembers(std::vector<store_object> registered);
+    boost::asio::awaitable<void> processMembers(std::vector<store_object> registered, unsigned restorations);
     void recordLocalEntry(const store_object *localEntry);
     bool isRemovable(const std::string &instance) const;
 
@@ -116,6 +119,8 @@
     std::shared_ptr<bool> m_isTaskAlive = std::make_shared<bool>(true); ///< False after destruction; coroutines and handlers that outlive the task check it.
     bool m_isRegistering = false;
     bool m_isRegistered = false;
+    clock::time_point m_registrationDueAt{}; ///< Not before this time is the entry written.
+    unsigned m_storeRestorations = 0; ///< Calls of onStoreRestored(); results of calls to the store that began before one are dropped.
     std::uint64_t m_storedDecisions = 0; ///< crash_tracker::decisions() at the last registration.
 };
 
--- a/node/peer_task_test.cpp
+++ b/node/peer_task_test.cpp
@@ -229,6 +229,37 @@
     CHECK(fixture.runUntil([&] { return names().count("i42") == 1; }, 3s));
 }
 
+TEST_CASE("peer_task: instances register again when the store has lost their entries (none found another after a later loss of power)")
+{
+    peers_fixture fixture;
+    fixture.store.takeCopy();
+    const auto first = fixture.make(2, {2});
+    const auto second = fixture.make(3, {2});
+    REQUIRE(fixture.runUntil([&] { return fixture.store.holds("members", "i2") && fixture.store.holds("members", "i3"); }));
+    fixture.runFor(200ms);
+    fixture.store.returnToCopy();
+    REQUIRE_FALSE(fixture.store.holds("members", "i2"));
+    const auto callsBefore = fixture.store.calls();
+    first->task->onStoreRestored();
+    second->task->onStoreRestored();
+    CHECK(fixture.runUntil([&] { return fixture.store.holds("members", "i2") && fixture.store.holds("members", "i3"); }, 2500ms));
+    CHECK(fixture.store.calls() - callsBefore <= 4);
+}
+
+TEST_CASE("peer_task: an entry written while the store came back from a copy is written again (it was taken for registered without one)")
+{
+    peers_fixture fixture;
+    fixture.store.takeCopy();
+    const auto first = fixture.make(2, {2});
+    const auto second = fixture.make(3, {2});
+    REQUIRE(fixture.runUntil([&] { return fixture.store.holds("members", "i2") || fixture.store.holds("members", "i3"); }));
+    // At least one response to a write is still on its way.
+    first->task->onStoreRestored();
+    second->task->onStoreRestored();
+    fixture.store.returnToCopy(waiting_watches::Kept);
+    CHECK(fixture.runUntil([&] { return fixture.store.holds("members", "i2") && fixture.store.holds("members", "i3"); }, 3s));
+}
+
 TEST_CASE("peer_task: an odd name at the end of a page of members hides no other, and its entry is removed (an instance stayed isolated)")
 {
     for (const std::string oddName : {"h &#", "h%41/i?j"}) {
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -102,6 +102,7 @@
     handlers.onTarget = [this](const target_catalogue::record &known, bool hasRestarted) { m_pool.update(known, hasRestarted); };
     handlers.onTargetRemoved = [this](const std::string &id) { m_pool.remove(id); };
     handlers.onTargetListRecovered = [this] { m_pool.expectRegistrations(clock::now() + m_settings.targetHeartbeat + RegistrationMargin); };
+    handlers.onStoreRestored = [this] { m_peers.onStoreRestored(); };
     handlers.onEvacuations = [this](std::set<std::string> dataCentres) { m_pool.setEvacuated(std::move(dataCentres)); };
     handlers.peers = [this] { return catalogueSources(); };
     return handlers;
