--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,12 +12,13 @@
 
 
 CONTACT_SECONDS = 4  # An unplanned fault excuses what happens until this long after its end.
+STORE_RETURNS_AMONG_FAULTS = 6  # Times that the fault is among those to choose from, in runs with copies of the store.
 PLANNED_RUN_INTERVAL = 3  # Every third seed injects planned work only,
 PATIENT_RUN_INTERVAL = 6  # and every sixth has some long requests besides.
 
 
 class Faults:
-    def __init__(self, site, seed, log):
+    def __init__(self, site, seed, log, with_store_copies=False):
         self.site, self.rng, self.log = site, random.Random(seed), log
         self.version = 1
         self.unplanned = []  # Start and end time of each unplanned fault.
@@ -31,6 +32,9 @@
         if self.is_planned_run:
             self.faults = planned_work
 
+        if with_store_copies:
+            self.faults = [*self.faults, *[self.store_returns] * STORE_RETURNS_AMONG_FAULTS]
+
     async def inject(self, seconds):
         """Starts faults at random times, also while others are active. Returns when all have ended."""
         loop = asyncio.get_running_loop()
@@ -136,6 +140,14 @@
     async def forget_history(self):
         await self.site.admin_request("/store", {"condition": "up", "forget": True})
 
+    async def store_returns(self):
+        """The store is away for a moment and returns from a copy some seconds old; overlapping returns may come from the same copy."""
+        await self.site.admin_request("/store", {"condition": "up", "copy": True})
+        await asyncio.sleep(self.rng.uniform(0.5, 5))
+        await self.site.admin_request("/store", {"condition": self.rng.choice(("refusing", "silent"))})
+        await asyncio.sleep(self.rng.uniform(0, 1.5))
+        await self.site.admin_request("/store", {"condition": "up", "return": True, "keep_watches": self.rng.random() < 0.5})
+
     async def searchers_fail(self):
         chosen = site_module.pick(self.rng, [entry["id"] for entry in site_module.searchers()], 5)
         condition = self.rng.choice(SEARCHER_CONDITIONS)
--- a/soak/site.py
+++ b/soak/site.py
@@ -168,6 +168,10 @@
             out.writelines(f"{key}={value}\n" for key, value in boot_settings.items())
         return Process([f"{self.binaries}/balsamhook"], f"{self.folder}/{name}.log", {"BALSAMHOOK_BOOT": boot_file})
 
+    def running_instances(self):
+        """Returns each instance that runs, with its address."""
+        return [(instance, instance_address(i)) for i, instance in enumerate(self.instances) if instance.is_running()]
+
     async def start(self):
         self.stand_in.start()
         for proxy in self.proxies:
@@ -194,6 +198,15 @@
         return response.split(b"\r\n\r\n", 1)[1].decode()
 
 
+async def get(address, port, path):
+    """Sends a request without a body; returns the body of the response."""
+    reader, writer = await asyncio.open_connection(address, port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n".encode())
+    response = await reader.read()
+    writer.close()
+    return response.split(b"\r\n\r\n", 1)[1].decode()
+
+
 def make_log_folder(seed):
     return tempfile.mkdtemp(prefix=f"balsam-soak-{seed}-")
 
--- a/standins/standin_searcher.h
+++ b/standins/standin_searcher.h
@@ -81,6 +81,9 @@
     /// after it count as late arrivals.
     void drain(std::chrono::milliseconds gracePeriod);
 
+    /// Writes the registration again, as after the store has lost it, once the store is up.
+    void registerAgain();
+
     const searcher_findings &findings() const;
     const searcher_settings &values() const;
 
--- a/standins/standin_site.cpp
+++ b/standins/standin_site.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fstream>
+#include <random>
+#include <set>
 #include <sstream>
 
 using namespace balsamhook;
@@ -16,6 +18,10 @@
 constexpr int ExitFailure = 1;
 constexpr int ExitUsage = 2;
 constexpr std::chrono::milliseconds DrainGracePeriod{3000};
+/// In which the operator and the searchers write again what the store lost when it returned to a copy.
+constexpr std::chrono::milliseconds RewritePeriod{2000};
+/// Entries that a copy brings back, and that nobody renews, are removed after this time.
+constexpr std::chrono::milliseconds RegistrationLifetime{3000};
 constexpr std::chrono::milliseconds DrainServingTime{4000}; ///< Exceeds DrainGracePeriod, so that late arrivals are counted.
 
 std::optional<searcher_condition> parseSearcherCondition(const std::string &name)
@@ -62,7 +68,8 @@
             values.work = std::chrono::milliseconds(entry.value("work_ms", 5));
             m_values.emplace(values.id, values);
         }
-        m_store.put("config", "main", site.at("configuration"));
+        m_configuration = site.at("configuration");
+        m_store.put("config", "main", m_configuration);
     }
 
     int run(const endpoint &store, const endpoint &admin)
@@ -184,9 +191,54 @@
         if (change.value("forget", false)) {
             m_store.compactHistory();
         }
+        if (change.value("copy", false)) {
+            m_store.takeCopy();
+        }
+        if (change.value("return", false)) {
+            m_store.returnToCopy(change.value("keep_watches", false) ? waiting_watches::Kept : waiting_watches::Cut);
+            writeAgain();
+        }
         return true;
     }
 
+    std::chrono::steady_clock::time_point withinRewritePeriod()
+    {
+        return std::chrono::steady_clock::now() + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, RewritePeriod.count())(m_random));
+    }
+
+    void writeAgain()
+    {
+        for (const auto &[id, searcher] : m_searchers) {
+            m_timers.start(withinRewritePeriod(), [this, id = id] {
+                if (const auto found = m_searchers.find(id); found != m_searchers.end()) {
+                    found->second->registerAgain();
+                }
+            });
+        }
+        m_timers.start(withinRewritePeriod(), [this] {
+            m_store.put("config", "main", m_configuration);
+            for (const auto &[id, values] : m_values) {
+                writeEvacuation(values.dataCentre);
+            }
+        });
+        m_timers.start(std::chrono::steady_clock::now() + RegistrationLifetime, [this] {
+            for (const auto &[id, values] : m_values) {
+                if (m_searchers.count(id) == 0) {
+                    m_store.erase("servers", id);
+                }
+            }
+        });
+    }
+
+    void writeEvacuation(const std::string &dataCentre)
+    {
+        if (m_evacuations.count(dataCentre) > 0) {
+            m_store.put("evacuations", dataCentre, json::object());
+        } else {
+            m_store.erase("evacuations", dataCentre);
+        }
+    }
+
     bool applyChange(const std::string &path, const json &change)
     {
         if (path == "/searcher") {
@@ -196,16 +248,18 @@
             return changeStore(change);
         }
         if (path == "/configuration") {
+            m_configuration = change;
             m_store.put("config", "main", change);
             return true;
         }
         if (path == "/evacuation") {
             const std::string name = change.value("data_centre", "");
             if (change.value("active", false)) {
-                m_store.put("evacuations", name, json::object());
+                m_evacuations.insert(name);
             } else {
-                m_store.erase("evacuations", name);
+                m_evacuations.erase(name);
             }
+            writeEvacuation(name);
             return !name.empty();
         }
         return false;
@@ -235,6 +289,9 @@
     std::map<std::string, searcher_settings> m_values;
     std::map<std::string, std::unique_ptr<standin_searcher>> m_searchers;
     searcher_findings m_removedFindings;
+    json m_configuration; ///< The newest one.
+    std::set<std::string> m_evacuations;
+    std::mt19937 m_random{std::random_device{}()};
     http_server m_admin;
 };
 
