--- a/catalogue/store_era.cpp
+++ b/catalogue/store_era.cpp
@@ -11,11 +11,10 @@
 store_era::verdict store_era::observe(std::optional<std::uint64_t> named, call_token call)
 {
     const bool beganBefore = call != m_changes;
-    if (!named) {
-        m_hasUnnamed = m_hasUnnamed || (!beganBefore && !m_followed);
-        return beganBefore ? verdict::Outdated : verdict::Current;
-    }
     if (beganBefore) {
+        return named ? observeHint(named) : verdict::Outdated;
+    }
+    if (!named) {
         return observeHint(named);
     }
     return named == m_followed ? verdict::Current : follow(*named);
@@ -23,7 +22,11 @@
 
 store_era::verdict store_era::observeHint(std::optional<std::uint64_t> named)
 {
-    if (!named || named == m_followed) {
+    if (!named) {
+        m_hasUnnamed = m_hasUnnamed || !m_followed;
+        return verdict::Current;
+    }
+    if (named == m_followed) {
         return verdict::Current;
     }
     return named < m_followed ? verdict::Outdated : follow(*named);
--- a/catalogue/store_era_test.cpp
+++ b/catalogue/store_era_test.cpp
@@ -35,6 +35,9 @@
     CHECK(unnamed.observe(std::nullopt, unnamed.beginCall()) == verdict::Current);
     CHECK(unnamed.observeHint(std::nullopt) == verdict::Current);
     CHECK(unnamed.observe(2, unnamed.beginCall()) == verdict::Changed);
+    store_era hinted;
+    CHECK(hinted.observeHint(std::nullopt) == verdict::Current);
+    CHECK(hinted.observe(2, hinted.beginCall()) == verdict::Changed);
 
     store_era named;
     CHECK(named.observe(2, named.beginCall()) == verdict::Current);
--- a/cmake/balsam.cmake
+++ b/cmake/balsam.cmake
@@ -17,9 +17,9 @@
     endforeach()
 endfunction()
 
-# balsam_test(NAME SOURCES ... DEPENDS ...): the test program of a library, run by ctest.
+# balsam_test(NAME SOURCES ... DEPENDS ... [ARGUMENTS ...]): the test program of a library, run by ctest with the arguments.
 function(balsam_test name)
-    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
     add_executable(${name}_test ${ARG_SOURCES})
     target_link_libraries(${name}_test PRIVATE balsam_options)
     foreach(dependency ${ARG_DEPENDS})
@@ -28,7 +28,7 @@
     if(RAPIDCHECK_LIBRARY)
         target_link_libraries(${name}_test PRIVATE ${RAPIDCHECK_LIBRARY})
     endif()
-    add_test(NAME ${name} COMMAND ${name}_test)
+    add_test(NAME ${name} COMMAND ${name}_test ${ARG_ARGUMENTS})
     # With a fixed seed, the property-based tests give the same result on each run.
     set_tests_properties(${name} PROPERTIES TIMEOUT 120 ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- a/node/catalogue_sync.cpp
+++ b/node/catalogue_sync.cpp
@@ -97,10 +97,18 @@
     }
 }
 
+void catalogue_sync::listAgain()
+{
+    for (watched_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
+        kind->progress.onHistoryExpired();
+    }
+}
+
 void catalogue_sync::onEraChanged()
 {
     for (watched_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
         kind->progress.beginEra();
+        kind->eraBegan = clock::now();
         kind->retryTimer.cancel();
     }
     m_applied.beginEra();
@@ -146,6 +154,7 @@
     m_loggedEra.reset();
     for (watched_kind *kind : {&m_configurationKind, &m_targetKind, &m_evacuationKind}) {
         kind->progress.reset();
+        kind->eraBegan.reset();
         kind->failingSince = clock::now();
     }
     m_probe.setActive(isActive);
@@ -300,9 +309,27 @@
     }
     m_applied.retain(kind.kind, listed);
     kind.progress.onListed(firstRevision);
+    logListed(kind, listed.size());
     co_return success();
 }
 
+void catalogue_sync::logListed(watched_kind &kind, std::size_t objects)
+{
+    if (!kind.eraBegan) {
+        return;
+    }
+    const auto now = clock::now();
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - *std::exchange(kind.eraBegan, std::nullopt));
+    m_context.log.write(event_class::StateChange,
+                        event_line("catalogue", "era_listed")
+                            .add("kind", kind.kind)
+                            .add("era", m_era.followed().value_or(0))
+                            .add("revision", kind.progress.revisions().completeThrough)
+                            .add("objects", static_cast<std::uint64_t>(objects))
+                            .add("after_ms", elapsed),
+                        now);
+}
+
 asio::awaitable<result<void>> catalogue_sync::watchOnce(watched_kind &kind)
 {
     // After a failure a short watch detects the recovery at once; a long one would return only at the next change.
@@ -386,9 +413,9 @@
 {
     const store_era::verdict verdict = m_era.observeHint(offered.era);
     followEra(verdict, "peer", offered.targets ? offered.targets->revisions.newest : 0);
-    // A copy of a peer that knows no eras can't be compared with what is held here of a named one.
-    const bool isComparable = offered.era == m_era.followed() || !isReady();
-    if (verdict == store_era::verdict::Outdated || !isComparable) {
+    // A copy of a peer that knows no eras can't be compared with what is held here of a named one; it serves only where nothing is held yet.
+    const bool isComparable = offered.era == m_era.followed();
+    if (verdict == store_era::verdict::Outdated || (!isComparable && isReady())) {
         return;
     }
     // A copy that can't be read must not count as progress.
@@ -408,6 +435,9 @@
         m_applied.replaceEvacuations(offered.evacuations->content);
         logAdopted(m_evacuationKind);
     }
+    if (!isComparable) {
+        listAgain();
+    }
 }
 
 void catalogue_sync::logAdopted(const watched_kind &kind)
@@ -422,6 +452,11 @@
                         clock::now());
 }
 
+std::optional<std::uint64_t> catalogue_sync::era() const
+{
+    return m_era.followed();
+}
+
 std::optional<catalogue_snapshot> catalogue_sync::snapshot(const known_revisions &peer) const
 {
     // While the store is unreachable, this instance asks others itself.
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -49,6 +49,9 @@
     /// False while inactive, and when the store has been unreachable for longer than PeerFallbackDelay.
     bool isStoreReachable() const;
 
+    /// Returns the era of the store that is followed; empty if it names none.
+    std::optional<std::uint64_t> era() const;
+
     /// Returns the kinds of which this instance holds later revisions, for a peer that can't reach the store; empty unless isReady() and the store is
     /// reachable, and if the peer knows of a later era.
     std::optional<catalogue_snapshot> snapshot(const known_revisions &peer) const;
@@ -67,6 +70,7 @@
         copy_progress progress;
         bool isReachable = false; ///< The last call succeeded.
         clock::time_point failingSince{}; ///< Valid while unreachable.
+        std::optional<clock::time_point> eraBegan; ///< When the era changed, until the objects were listed in it.
         std::chrono::milliseconds listTimeout{0}; ///< Grows with each call that times out.
         boost::asio::steady_timer retryTimer; ///< Delays the next call to an unreachable store; cancelled when the store recovers.
     };
@@ -79,6 +83,7 @@
     /// Acts on the verdict on an answer, which came from the given source and shows the store at the given revision.
     void followEra(store_era::verdict verdict, std::string_view source, std::uint64_t revision);
     void onEraChanged();
+    void listAgain();
     void discardAnswer(const watched_kind &kind, copy_progress::call_token call, std::uint64_t revision);
     void dropCalls(clock::time_point begunBefore);
     void onStoreRecovered(clock::time_point lostBefore);
@@ -86,6 +91,7 @@
     boost::asio::awaitable<void> fetchFromPeer(endpoint peer);
     void adopt(const catalogue_snapshot &offered);
     void logAdopted(const watched_kind &kind);
+    void logListed(watched_kind &kind, std::size_t objects);
     void recordResult(watched_kind &kind, const result<void> &outcome);
     bool hasStoreOutage() const;
 
--- a/node/query_node.cpp
+++ b/node/query_node.cpp
@@ -250,6 +250,7 @@
         m_metrics.set("is_sender", m_peers.isSender() ? 1 : 0);
         m_metrics.set("peers_alive", static_cast<std::int64_t>(m_peers.peers().alive(clock::now()).size()));
         m_metrics.set("store_reached", m_catalogue.isStoreReachable() ? 1 : 0);
+        m_metrics.set("store_era", static_cast<std::int64_t>(m_catalogue.era().value_or(0)));
         m_metrics.set("response_bytes", static_cast<std::int64_t>(m_context.responses.used()));
         m_metrics.set("connection_bytes", static_cast<std::int64_t>(m_context.connections.bytes()));
         m_metrics.set("connections", static_cast<std::int64_t>(m_context.connections.connections()));
--- a/node/store_restored_test.cpp
+++ b/node/store_restored_test.cpp
@@ -73,6 +73,8 @@
 
 } // namespace
 
+TEST_SUITE_BEGIN("store_restored");
+
 TEST_CASE("store_restored: a configuration written after the store came back from an older copy is applied in time (it came late or never: CONFIG)")
 {
     for (const encounter met : Encounters) {
@@ -247,3 +249,5 @@
     CHECK(fixture.targets.count("ended") == 0);
     CHECK(fixture.runUntil([&] { return fixture.targets.count("ended") == 1; }, 10s));
 }
+
+TEST_SUITE_END();
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 SEARCHER_CONDITIONS = ("slow", "hanging", "failing", "breaking_off", "shedding", "surplus", "down")
 
 
+CONFIG_APPLY_SECONDS = 3  # In which a configuration has to be in force.
 CONTACT_SECONDS = 4  # An unplanned fault excuses what happens until this long after its end.
 STORE_RETURNS_AMONG_FAULTS = 6  # Times that the fault is among those to choose from, in runs with copies of the store.
 PLANNED_RUN_INTERVAL = 3  # Every third seed injects planned work only,
@@ -21,6 +22,8 @@
     def __init__(self, site, seed, log, with_store_copies=False):
         self.site, self.rng, self.log = site, random.Random(seed), log
         self.version = 1
+        self.store_returns_count = 0
+        self.findings = []
         self.unplanned = []  # Start and end time of each unplanned fault.
         self.faults = [self.kill, self.pause, self.stop, self.hang_up, self.cut_store, self.store_outage, self.slow_store, self.forget_history,
                        self.searchers_fail, self.searcher_restarts, self.searcher_drains, self.configure, self.configure_often, self.evacuate,
@@ -144,9 +147,33 @@
         """The store is away for a moment and returns from a copy some seconds old; overlapping returns may come from the same copy."""
         await self.site.admin_request("/store", {"condition": "up", "copy": True})
         await asyncio.sleep(self.rng.uniform(0.5, 5))
+        await self.site.admin_request("/store", {"condition": "up", "other_writes": self.rng.randint(0, 300)})
+        if self.is_planned_run:
+            await self.configure()  # At a revision that will be given out again.
+            await asyncio.sleep(0.5)
         await self.site.admin_request("/store", {"condition": self.rng.choice(("refusing", "silent"))})
         await asyncio.sleep(self.rng.uniform(0, 1.5))
         await self.site.admin_request("/store", {"condition": "up", "return": True, "keep_watches": self.rng.random() < 0.5})
+        self.store_returns_count += 1
+        if self.is_planned_run:
+            await self.check_configuration_after_return()
+
+    async def check_configuration_after_return(self):
+        """Changes the configuration some time after a return and finds instances that don't work with it in time."""
+        count = self.store_returns_count
+        await asyncio.sleep(site_module.REWRITE_SECONDS + self.rng.uniform(0, 2))
+        await self.configure()
+        version = self.version
+        await asyncio.sleep(CONFIG_APPLY_SECONDS)
+        if count != self.store_returns_count:
+            return  # It may have been lost with another return.
+        for instance, address in self.site.running_instances():
+            try:
+                held = await site_module.configuration_version(address)
+            except (OSError, IndexError):
+                continue  # It has just stopped or started.
+            if 0 < held < version:
+                self.findings.append(f"{instance.log}: configuration {held} was in force {CONFIG_APPLY_SECONDS} s after {version}")
 
     async def searchers_fail(self):
         chosen = site_module.pick(self.rng, [entry["id"] for entry in site_module.searchers()], 5)
--- a/soak/site.py
+++ b/soak/site.py
@@ -11,6 +11,7 @@
 DATA_CENTRES = ("dc1", "dc2", "dc3")
 CALLER_PORT, READY_PORT, INTERNAL_PORT, DIRECTORY_PORT, PEER_PORT = 8104, 8108, 8106, 8100, 7380
 GRACE_SECONDS = 6
+REWRITE_SECONDS = 2  # In which the operator and the searchers write again what the store lost.
 SHARDS = 8
 HOST = "search.example"
 
@@ -198,6 +199,12 @@
         return response.split(b"\r\n\r\n", 1)[1].decode()
 
 
+async def configuration_version(address):
+    """Returns the version of the configuration that an instance works with; 0 if it has none, as a standby instance."""
+    metrics = await get(address, INTERNAL_PORT, "/metrics")
+    return next((int(line.split()[1]) for line in metrics.splitlines() if line.startswith("balsam_configuration_version ")), 0)
+
+
 async def get(address, port, path):
     """Sends a request without a body; returns the body of the response."""
     reader, writer = await asyncio.open_connection(address, port)
--- a/standins/standin_site.cpp
+++ b/standins/standin_site.cpp
@@ -194,6 +194,9 @@
         if (change.value("copy", false)) {
             m_store.takeCopy();
         }
+        for (int i = 0; i < change.value("other_writes", 0); ++i) {
+            m_store.put("others", "counter", ++m_otherWrites);
+        }
         if (change.value("return", false)) {
             m_store.returnToCopy(change.value("keep_watches", false) ? waiting_watches::Kept : waiting_watches::Cut);
             writeAgain();
@@ -290,6 +293,7 @@
     std::map<std::string, std::unique_ptr<standin_searcher>> m_searchers;
     searcher_findings m_removedFindings;
     json m_configuration; ///< The newest one.
+    int m_otherWrites = 0; ///< Writes to an object that instances don't read; they only raise the revision.
     std::set<std::string> m_evacuations;
     std::mt19937 m_random{std::random_device{}()};
     http_server m_admin;
