--- a/catalogue/catalogue_test.cpp
+++ b/catalogue/catalogue_test.cpp
@@ -115,3 +115,46 @@
     CHECK(catalogue.expire(Start + 10s).empty());
     CHECK(catalogue.clear().size() == 1);
 }
+
+TEST_CASE(
+    "target_catalogue: in a new era a registration that had disappeared is in doubt until it is newer or outlives its lifetime (guards against ended targets)")
+{
+    constexpr std::chrono::milliseconds Lifetime{4000};
+    target_catalogue catalogue;
+    CHECK(catalogue.apply(target(10, 5), Start) == change::Added);
+    catalogue.recordLast(target(10, 7));
+    CHECK(catalogue.markStale("t1", Start) == change::Updated);
+    catalogue.beginEra(Start, Lifetime);
+    CHECK(catalogue.apply(target(10, 6), Start) == change::None);
+    CHECK(catalogue.find("t1")->isStale);
+    CHECK(catalogue.inDoubt().count("t1") == 1);
+
+    CHECK(catalogue.expire(Start + target_catalogue::StaleGracePeriod) == std::vector<std::string>{"t1"});
+    CHECK(catalogue.apply(target(10, 7), Start + 2s) == change::None);
+    CHECK(catalogue.takeConfirmed(Start + Lifetime - 1ms).empty());
+    const std::vector<registered_target> confirmed = catalogue.takeConfirmed(Start + Lifetime);
+    REQUIRE(confirmed.size() == 1);
+    CHECK(catalogue.apply(confirmed.front(), Start + Lifetime) == change::Added);
+
+    catalogue.beginEra(Start + 10s, Lifetime);
+    CHECK(catalogue.apply(target(10, 6), Start + 10s) == change::None);
+    CHECK_MESSAGE(catalogue.inDoubt().empty(), "a target whose registration has not disappeared is not in doubt");
+    CHECK(catalogue.markStale("t1", Start + 10s) == change::Updated);
+    CHECK(catalogue.apply(target(10, 8), Start + 10s) == change::Updated);
+    CHECK(catalogue.markStale("t1", Start + 10s) == change::Updated);
+    CHECK(catalogue.apply(target(11, 1), Start + 10s) == change::Restarted);
+    CHECK(catalogue.markStale("t1", Start + 11s) == change::Updated);
+    CHECK(catalogue.apply(target(11, 1), Start + 11s) == change::None);
+    CHECK(catalogue.markMissingStale({}, Start + 12s) == std::vector<std::string>{"t1"});
+    CHECK(catalogue.inDoubt().empty());
+}
+
+TEST_CASE("target_catalogue: a process that drains doesn't become ready again with the same heartbeat (guards against an older copy of its registration)")
+{
+    target_catalogue catalogue;
+    registered_target draining = target(10, 5);
+    draining.condition = target_condition::Draining;
+    CHECK(catalogue.apply(draining, Start) == change::Added);
+    CHECK(catalogue.apply(target(10, 5), Start) == change::None);
+    CHECK(catalogue.apply(target(10, 6), Start) == change::Updated);
+}
--- a/catalogue/target_catalogue.cpp
+++ b/catalogue/target_catalogue.cpp
@@ -75,7 +75,7 @@
     return m_inDoubt;
 }
 
-std::map<std::string, target_catalogue::record>::iterator target_catalogue::end(std::map<std::string, record>::iterator known, clock::time_point now)
+std::map<std::string, target_catalogue::record>::iterator target_catalogue::remove(std::map<std::string, record>::iterator known, clock::time_point now)
 {
     m_ended[known->first] = {known->second.target.startedAt, known->second.target.heartbeat, now};
     return m_records.erase(known);
@@ -90,7 +90,7 @@
     }
     record &known = found->second;
     if (known.target.condition == target_condition::Draining) {
-        end(found, now);
+        remove(found, now);
         return change::Removed;
     }
     if (known.isStale) {
@@ -123,7 +123,7 @@
     for (auto it = m_records.begin(); it != m_records.end();) {
         if (it->second.isStale && now - it->second.staleSince >= StaleGracePeriod) {
             removed.push_back(it->first);
-            it = end(it, now);
+            it = remove(it, now);
         } else {
             ++it;
         }
--- a/catalogue/target_catalogue.h
+++ b/catalogue/target_catalogue.h
@@ -109,12 +109,12 @@
     };
 
     bool isInDoubt(const registered_target &entry, clock::time_point now) const;
-    std::map<std::string, record>::iterator end(std::map<std::string, record>::iterator known, clock::time_point now);
+    std::map<std::string, record>::iterator remove(std::map<std::string, record>::iterator known, clock::time_point now);
 
     std::map<std::string, record> m_records;
-    std::map<std::string, ended_target> m_ended;
+    std::map<std::string, ended_target> m_ended; ///< Removed within the EndedRetentionPeriod.
     std::map<std::string, registered_target> m_inDoubt;
-    clock::time_point m_doubtUntil{};
+    clock::time_point m_doubtUntil{}; ///< Before this time, a registration that had disappeared is in doubt unless it is newer.
 };
 
 } // namespace balsamhook
--- a/node/catalogue_sync.h
+++ b/node/catalogue_sync.h
@@ -9,9 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <map>
-#include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 
