--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 BODY = [b"0\r\n", b"\r", b"\n"] if standins.TROUBLE else [b"0\r\n\r\n"]
 
 
-async def call(address, number, outcomes, ran_before_end):
+async def call(address, number, outcomes, ran_before_end, sent, answered):
     """An ordinary caller: asks again and again on a kept connection."""
     count = 0
     try:
@@ -24,10 +24,12 @@
             count += 1
             request = f"c{number}n{count}"
             ran_before_end[number] = request
+            sent.append(request)
             writer.write(f"POST /credit/{request} HTTP/1.1\r\nHost: {standins.HOST}\r\nRequest-Id: {request}\r\nDeadline-Ms: 5000\r\n"
                          "Content-Length: 6\r\n\r\ncredit".encode())
             status, _, _ = await standins.read_answer(reader)
             ran_before_end.pop(number)
+            answered[request] = status
             outcomes[status] = outcomes.get(status, 0) + 1
             await asyncio.sleep(0.01)
     except (OSError, asyncio.IncompleteReadError) as failed:
@@ -60,14 +62,17 @@
     store.put("config", "main", standins.configuration(routes, ["ledger"]))
     instance = standins.Instance(prefix, store, files)
     instance.start()
-    outcomes, waiting, callers = {}, {}, []
+    outcomes, waiting, callers, sent, answered = {}, {}, [], [], {}
     try:
         await instance.wait_ready()
         await asyncio.sleep(4)
-        callers = [asyncio.ensure_future(call(instance.address, number, outcomes, waiting)) for number in range(CALLERS)]
+        callers = [asyncio.ensure_future(call(instance.address, number, outcomes, waiting, sent, answered)) for number in range(CALLERS)]
         await asyncio.sleep(3)
         record.say(f"{CALLERS} ordinary callers before: {outcomes}")
-        record.say(f"the request with a chunked body got {await chunked(instance.address, record)}")
+        outcome = await chunked(instance.address, record)
+        if isinstance(outcome, int):
+            answered["odd"] = outcome
+        record.say(f"the request with a chunked body got {outcome}")
         await asyncio.sleep(2)
         ran = set().union(*(searcher.ran for searcher in searchers))
         lost = [request for request in waiting.values() if request in ran] if not instance.is_running() else []
@@ -83,7 +88,8 @@
         store.stop()
         for searcher in searchers:
             searcher.stop()
+    record.write_requests(sent + ["odd"], answered, searchers)
     return ended
 
 
-sys.exit(standins.run_case(FOLDER, case))
+sys.exit(standins.run_case(os.path.join(FOLDER, "record.txt"), case))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -27,15 +27,24 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run."""
+    """Writes the record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
 
     def write(self, text):
         self.file.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
 
+    def write_requests(self, sent, answered, searchers):
+        """Writes a line for each request. answered: the status of each request that was answered."""
+        ran = {}
+        for searcher in searchers:
+            for request, count in searcher.ran.items():
+                ran[request] = ran.get(request, 0) + count
+        for request in sent:
+            self.write(f"{request}: sent, run {ran.get(request, 0)} times, {f'answered {answered[request]}' if request in answered else 'not answered'}")
+
     def say(self, text):
         self.write(text)
         print(text, flush=True)
@@ -392,9 +401,9 @@
         writer.close()
 
 
-def run_case(folder, case):
-    """Runs case(record, folder for files) and returns the exit code: 1 broken, 0 held, 2 couldn't run."""
-    record = Record(folder)
+def run_case(path, case):
+    """Runs case(record, folder for files), with the record at the path, and returns the exit code: 1 broken, 0 held, 2 couldn't run."""
+    record = Record(path)
     try:
         with tempfile.TemporaryDirectory(prefix="balsam-review-") as files:
             is_broken = asyncio.run(asyncio.wait_for(case(record, files), 110))
