--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -1,6 +1,7 @@
 #include "http/message_reader.h"
 
 #include "base/assert.h"
+#include "http/chunk_scanner.h"
 
 #include <algorithm>
 #include <array>
@@ -97,8 +98,8 @@
 
 public:
     explicit parser(const limits &allowed)
+        : m_chunkScanner(allowed.headerBytes)
     {
-        base::eager(true);
         base::header_limit(static_cast<std::uint32_t>(allowed.headerBytes));
         base::body_limit(allowed.bodyBytes);
     }
@@ -108,14 +109,15 @@
         std::size_t consumed = 0;
         failed = {};
         while (consumed < data.size() && !base::is_done() && !failed) {
-            const std::size_t parsed = base::put(boost::asio::buffer(data.data() + consumed, data.size() - consumed), failed);
-            consumed += parsed;
-            if (parsed == 0 && !failed) {
+            const std::string_view part = nextPart(data.substr(consumed), failed);
+            if (part.empty()) {
                 break;
             }
+            consumed += base::put(boost::asio::buffer(part.data(), part.size()), failed);
         }
         if (failed == beast::http::error::need_more) {
-            failed = {};
+            // The framing of a chunk is passed as a whole, so it is malformed if it doesn't satisfy the parser.
+            failed = base::is_header_done() ? beast::http::error::bad_chunk : boost::system::error_code();
         }
         return consumed;
     }
@@ -198,13 +200,15 @@
         return body.size();
     }
 
-    void on_chunk_header_impl(std::uint64_t, string_view, error_code &) override
+    void on_chunk_header_impl(std::uint64_t size, string_view, error_code &) override
     {
+        m_chunkBytesLeft = size;
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code &) override
     {
         appendToBody(body);
+        m_chunkBytesLeft -= body.size();
         return body.size();
     }
 
@@ -212,6 +216,18 @@
     {
     }
 
+    /// Returns what the parser can take of the data; empty if more bytes are needed.
+    std::string_view nextPart(std::string_view data, error_code &failed)
+    {
+        if (!base::is_header_done() || !base::chunked()) {
+            return data;
+        }
+        if (m_chunkBytesLeft > 0) {
+            return data.substr(0, m_chunkBytesLeft);
+        }
+        return data.substr(0, m_chunkScanner.scan(data, failed));
+    }
+
     void appendToBody(string_view bytes)
     {
         const std::size_t needed = message.body.size() + bytes.size();
@@ -226,6 +242,8 @@
     }
 
     boost::optional<std::uint64_t> m_length; ///< Of the body, if the header names it.
+    chunk_scanner m_chunkScanner;
+    std::uint64_t m_chunkBytesLeft = 0; ///< Of the current chunk.
 };
 
 message_reader::message_reader(message_kind kind, limits allowed)
