An empty chunked response of the store or a peer ended the process

Evidence: the new test aborts without the change (basic_parser.ipp:688).

Change: http_connection reads with message_reader, as both other directions do, so one reader decides for all ports. The limits stay (8 KB of header, 16 MB of body), and so does the accounting of what arrives; a status that HTTP doesn't have is refused by the reader. lowerCase(), which stood twice, moves to http_message.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -609,24 +609,30 @@
 namespace
 {
 
-/// Sends one request with http_connection to a peer that writes the text; returns the status of the response.
-std::optional<unsigned> statusFetched(const std::string &text)
+/// Sends one request with http_connection to a peer that writes the pieces and closes; returns the response.
+std::optional<http_response> fetchPieces(const std::vector<std::string> &pieces)
 {
     scripted_peer peer([&](tcp::socket &socket) {
         readRequest(socket);
-        writePieces(socket, {text});
+        writePieces(socket, pieces);
     });
     asio::io_context context;
-    std::optional<unsigned> status;
+    std::optional<http_response> fetched;
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
             const auto response = co_await fetch(peer.address(), {}, http_request(), TestTimeout);
-            status = response ? std::optional(response.value().status) : std::nullopt;
+            fetched = response ? std::optional(response.value()) : std::nullopt;
         },
         asio::detached);
     context.run_for(TestTimeout);
-    return status;
+    return fetched;
+}
+
+std::optional<unsigned> statusFetched(const std::string &text)
+{
+    const auto response = fetchPieces({text});
+    return response ? std::optional(response->status) : std::nullopt;
 }
 
 } // namespace
@@ -688,3 +694,21 @@
     }
     CHECK_FALSE(statusFetched(interim + "HTTP/1.1 200" + rest).has_value());
 }
+
+TEST_CASE("http_connection: a chunked response cut at any byte is read as the whole (the store's empty one in three segments ended the process)")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto empty = fetchPieces({head, "0\r\n", "\r", "\n"});
+    REQUIRE(empty);
+    CHECK(empty->body.empty());
+    CHECK(empty->contentType == "text/plain");
+    const std::string text = head + "5\r\nhello\r\n1;a=b\r\n!\r\n0\r\nA: b\r\n\r\n";
+    for (std::size_t cut = 1; cut < text.size(); ++cut) {
+        CAPTURE(cut);
+        const auto response = fetchPieces({text.substr(0, cut), text.substr(cut)});
+        REQUIRE(response);
+        CHECK(response->body == "hello!");
+        CHECK(response->headers.count("a") == 0);
+    }
+    CHECK_FALSE(fetchPieces({head, "5\r\nhello\r\n0\r\n"}));
+}
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include "http/message_reader.h"
 #include "http/socket_options.h"
 
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,12 +22,12 @@
 namespace
 {
 
-constexpr std::uint64_t ResponseBodyLimitBytes = 16 * 1024 * 1024;
+constexpr message_reader::limits ResponseLimits{8 * 1024, 16 * 1024 * 1024};
+constexpr std::size_t ReadBytes = 16 * 1024;
 constexpr unsigned HttpVersion = 11;
 constexpr unsigned MaxInterimResponses = 16;
 
 using beast_request = beast::http::request<beast::http::string_body>;
-using response_parser = beast::http::response_parser<beast::http::string_body>;
 
 beast_request toBeast(http_request &&request, const std::string &host)
 {
@@ -52,19 +53,15 @@
     return message;
 }
 
-http_response fromBeast(beast::http::response<beast::http::string_body> &&message)
+http_response toResponse(http_message &&message)
 {
     http_response response;
-    response.status = message.result_int();
-    response.contentType = std::string(message[beast::http::field::content_type]);
-    for (const auto &field : message) {
-        std::string name(field.name_string());
-        for (char &c : name) {
-            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-        }
-        response.headers[std::move(name)] = std::string(field.value());
+    response.status = message.status;
+    for (header_field &field : message.fields) {
+        response.headers[lowerCase(field.name)] = std::move(field.value);
     }
-    response.body = std::move(message.body());
+    response.contentType = std::string(response.header("content-type"));
+    response.body = std::move(message.body);
     return response;
 }
 
@@ -95,37 +92,44 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    std::array<char, ReadBytes> buffer{};
+    std::string unparsed; ///< Received bytes that the reader hasn't consumed.
     std::string peer;
     const response_memory *memory = nullptr;
     bool hasSentBytes = false;
     bool open = true;
 };
 
-namespace
+http_connection::http_connection(std::unique_ptr<state> inner)
+    : m_state(std::move(inner))
 {
+}
 
-/// Reads a response, and counts it in the memory while it arrives. The error is body_limit if there is no room for it.
-asio::awaitable<void> readResponse(
-    beast::tcp_stream &stream, beast::flat_buffer &buffer, response_parser &incoming, response_memory::holding *holding, boost::system::error_code &failed)
+http_connection::~http_connection() = default;
+
+asio::awaitable<boost::system::error_code> http_connection::receive(message_reader &reader, response_memory::holding *holding)
 {
-    while (!failed && !incoming.is_done()) {
-        co_await beast::http::async_read_some(stream, buffer, incoming, asio::redirect_error(asio::use_awaitable, failed));
-        if (!failed && holding != nullptr && !holding->resize(buffer.capacity() + incoming.get().body().capacity())) {
+    boost::system::error_code failed;
+    while (true) {
+        m_state->unparsed.erase(0, reader.feed(m_state->unparsed, failed));
+        if (!failed && holding != nullptr && !holding->resize(m_state->unparsed.capacity() + reader.heldBytes())) {
             failed = beast::http::error::body_limit;
         }
+        if (failed || reader.isDone()) {
+            co_return failed;
+        }
+        const std::size_t size = co_await m_state->stream.async_read_some(asio::buffer(m_state->buffer), asio::redirect_error(asio::use_awaitable, failed));
+        if (failed == asio::error::eof && reader.hasStarted()) {
+            reader.endOfStream(failed);
+            co_return failed;
+        }
+        if (failed) {
+            co_return failed;
+        }
+        m_state->unparsed.append(m_state->buffer.data(), size);
     }
 }
 
-} // namespace
-
-http_connection::http_connection(std::unique_ptr<state> inner)
-    : m_state(std::move(inner))
-{
-}
-
-http_connection::~http_connection() = default;
-
 asio::awaitable<result<http_connection::pointer>>
 http_connection::open(endpoint peer, std::string bindAddress, std::chrono::milliseconds timeout, const response_memory *memory)
 {
@@ -172,27 +176,23 @@
         close();
         co_return exchangeError(failed, error_step::Send, m_state->peer);
     }
+    message_reader reader(message_kind::Response, ResponseLimits);
     for (unsigned interim = 0; interim <= MaxInterimResponses; ++interim) {
-        response_parser incoming;
-        incoming.body_limit(ResponseBodyLimitBytes);
         const auto holding = m_state->memory == nullptr ? nullptr : m_state->memory->hold();
-        co_await readResponse(m_state->stream, m_state->buffer, incoming, holding.get(), failed);
-        const unsigned status = incoming.get().result_int();
-        if (!failed && !isValidStatus(status)) {
-            failed = beast::http::error::bad_status;
-        }
+        failed = co_await receive(reader, holding.get());
         if (failed) {
             close();
             co_return exchangeError(failed, error_step::Receive, m_state->peer);
         }
-        if (isInterimStatus(status)) {
+        http_message response = reader.take();
+        if (isInterimStatus(response.status)) {
             continue;
         }
         m_state->stream.expires_never();
-        if (!incoming.get().keep_alive()) {
+        if (!response.keepAlive) {
             close();
         }
-        co_return fromBeast(incoming.release());
+        co_return toResponse(std::move(response));
     }
     close();
     co_return failure(error_code::Closed, error_step::Receive, m_state->peer, "too many interim responses");
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -2,6 +2,7 @@
 
 #include "base/base.h"
 #include "http/http_message.h"
+#include "http/message_reader.h"
 #include "http/response_memory.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -45,6 +46,10 @@
 
 private:
     struct state;
+
+    /// Receives bytes until the reader has a message; they are counted in the holding if one is given. The error is body_limit if there is no room for them.
+    boost::asio::awaitable<boost::system::error_code> receive(message_reader &reader, response_memory::holding *holding);
+
     explicit http_connection(std::unique_ptr<state> inner);
     std::unique_ptr<state> m_state;
 };
--- a/http/http_message.cpp
+++ b/http/http_message.cpp
@@ -75,6 +75,15 @@
     return response;
 }
 
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    for (char &c : lower) {
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    return lower;
+}
+
 std::string percentEncode(std::string_view text)
 {
     constexpr std::string_view Digits = "0123456789ABCDEF";
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -48,6 +48,9 @@
 /// Returns a text/plain response.
 http_response textResponse(unsigned status, std::string body);
 
+/// Returns the text with ASCII capitals in lower case.
+std::string lowerCase(std::string_view text);
+
 /// Encodes a text for use as one segment of a path, or as a name or value in a query: every byte but letters, digits and "-._~" becomes %XX.
 std::string percentEncode(std::string_view text);
 
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -17,15 +17,6 @@
 namespace
 {
 
-std::string lowerCase(std::string_view text)
-{
-    std::string lower(text);
-    for (char &c : lower) {
-        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    }
-    return lower;
-}
-
 void splitTarget(std::string_view target, http_request &request)
 {
     const std::size_t questionMark = target.find('?');
