How a header was cut decided whether it was malformed or too long

What callers saw: nothing in calm. A client that sent each field in a segment of its own, cut one byte behind its line, could send a header without end: the limit began anew with each segment, for requests (MaxHeaderBytes) and for responses (64 KB). A malformed header got its 400 at once or a 408 seconds later, and a target's bytes that were no answer were found at once or at the deadline, as they were cut.

Cause: Beast's parser consumes complete fields as they come and counts the limit from the first byte that it hasn't consumed; once it has seen a part of a line it looks at nothing more until an empty line comes.

Evidence: without the change in message_reader.cpp "a header cut at any bytes" fails at the first malformed header ("partial message" for "bad version"), "a header whose fields come one by one" reads 1,024 bytes of fields with a limit of 256, and "any messages, spoiled and cut" fails (a Transfer-Encoding behind a Content-Length: 'bad value' or 'partial message').

Change: header_scanner judges each byte of a header when it arrives and counts it once; the parser gets the header as a whole. The limit holds for the first line, and for the fields together, as before for a header in one piece. Reading stops only behind all that the reader can wait for. exchange_machine's own limit of unparsed bytes gives way to the reader's, and a response in many small pieces isn't copied with each. A limit of 4 GB or more no longer becomes a small one.

--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-/// Reading stops at this size, or at that of the largest header: a longer line can't belong to a request that is accepted.
+/// Reading stops at this size, or behind all that the reader may wait for the end of.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 /// Reading stops at this size until the previous response is sent; the rest of a pipelined request stays in the socket buffer.
 constexpr std::size_t MaxPipelinedBytes = 16 * 1024;
@@ -154,7 +154,7 @@
 bool caller_connection::mayRead() const
 {
     const bool isResponsePending = m_busy || !m_outgoing.empty();
-    const std::size_t limit = isResponsePending ? MaxPipelinedBytes : std::max(MaxUnparsedBytes, m_settings.limits.headerBytes);
+    const std::size_t limit = isResponsePending ? MaxPipelinedBytes : std::max(MaxUnparsedBytes, message_reader::maxUnconsumedBytes(m_settings.limits) + 1);
     return m_unparsed.size() < limit;
 }
 
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -510,6 +510,20 @@
     CHECK(received.find(" 200 ") != std::string::npos);
 }
 
+TEST_CASE("caller_connection: reads a first line and fields that take the limit each (reading stopped within the header, so it got 408)")
+{
+    constexpr std::size_t Limit = 100000;
+    caller_connection::settings values;
+    values.limits.headerBytes = Limit;
+    values.headerTimeout = std::chrono::milliseconds(1000);
+    caller_fixture fixture(values);
+    const std::string line = "GET / HTTP/1.1\r\n";
+    const std::string fields = "Connection: close\r\nX: \r\n\r\n";
+    std::string request = "GET /" + std::string(Limit - line.size(), 'a') + " HTTP/1.1\r\nConnection: close\r\nX: ";
+    request += std::string(Limit - fields.size(), 'x') + "\r\n\r\n";
+    CHECK(fixture.runClient({request}).find(" 200 ") != std::string::npos);
+}
+
 TEST_CASE("caller_connection: a request for which there is no memory is refused as not run, with Retry-After (bodies of many callers filled the memory)")
 {
     const connection_account account({connection_account::ConnectionBytes + 100000, 10});
--- a/http/exchange_machine.cpp
+++ b/http/exchange_machine.cpp
@@ -16,8 +16,7 @@
 } // namespace
 
 exchange_machine::exchange_machine(message_reader::limits limits, const response_memory *memory)
-    : m_limits(limits)
-    , m_reader(message_kind::Response, limits)
+    : m_reader(message_kind::Response, limits)
     , m_memory(memory)
 {
 }
@@ -66,9 +65,9 @@
             return lost;
         }
         if (isIncomplete) {
-            // The reader consumes complete lines only; the rest is passed again with the next bytes.
-            m_unparsed = data;
-            return m_unparsed.size() > m_limits.headerBytes ? std::optional(fail()) : std::nullopt;
+            // The reader leaves an incomplete header or line, within its limits; the rest is passed again with the next bytes.
+            m_unparsed = data.size() == joined.size() ? std::move(joined) : std::string(data);
+            return std::nullopt;
         }
         if (auto result = onMessage(*exchange, !data.empty())) {
             return result;
--- a/http/exchange_machine.h
+++ b/http/exchange_machine.h
@@ -95,9 +95,8 @@
     bool isResponseTo(const in_flight &exchange, const http_message &response) const;
     bool discard(in_flight &exchange, bool isInterim);
 
-    message_reader::limits m_limits;
     message_reader m_reader;
-    std::string m_unparsed; ///< Received bytes of an incomplete line.
+    std::string m_unparsed; ///< Received bytes that the reader hasn't consumed.
     const response_memory *m_memory;
     response_memory::holding_pointer m_holding; ///< Of the response that is being received.
     std::uint64_t m_requests = 0; ///< Begun on this connection.
--- a/http/message_cut_test.cpp
+++ b/http/message_cut_test.cpp
@@ -3,7 +3,9 @@
 #include "http/http.h"
 
 #include <algorithm>
+#include <boost/beast/http/error.hpp>
 #include <optional>
+#include <rapidcheck.h>
 #include <sstream>
 #include <utility>
 
@@ -119,6 +121,7 @@
     }
 }
 
+const std::string Get = "GET /a/?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
 const std::string ChunkedHead = "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Bodies in chunks, proper and malformed ones.
@@ -171,6 +174,136 @@
     }
 }
 
+TEST_CASE("message_reader: a header cut at any bytes is read as the whole (where it was cut decided whether it was too long or malformed)")
+{
+    const std::string line = "A: " + std::string(59, 'x') + "\r\n";
+    const std::vector<std::string> requests{
+        Get,
+        Get + Get,
+        "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello" + Get,
+        "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel",
+        "POST /a/ HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+        "POST /a/ HTTP/1.1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\nA: b\r\n c\r\n\td\r\nE:\r\n f\r\n\r\n",
+        "GET /a/ HTTP/1.0\r\nA:\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\nA b\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\nA: b\rc\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\nA: b\nC: d\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\n A: b\r\n\r\n",
+        "GET /a/ HTTP/1.1\n\n",
+        "GET  HTTP/1.1\r\n\r\n",
+        "GET /a/ HTTP/2.0\r\n\r\n",
+        "\r\nGET /a/ HTTP/1.1\r\n\r\n",
+        "GET /a/ HTTP/1.1\r\n" + line + line + line + line,
+        "GET /a/ HTTP/1.1\r\n" + line + line + line + line + "\r\n",
+        "GET /" + std::string(HeaderLimitBytes, 'a') + " HTTP/1.1\r\n\r\n",
+        "GET /" + std::string(HeaderLimitBytes, 'a'),
+        "GET /a/ HTTP/1.1\r\nHo",
+    };
+    for (const std::string &text : requests) {
+        checkAllCuts(message_kind::Request, text);
+    }
+    const std::vector<std::string> responses{
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 000 OK\r\n\r\n",
+        "HTTP/1.1 20 OK\r\n\r\n",
+        "not a response",
+        "HTTP/1.1 200 OK\r\nA: b\x01\r\n\r\n",
+    };
+    for (const std::string &text : responses) {
+        checkAllCuts(message_kind::Response, text);
+    }
+}
+
+TEST_CASE("message_reader: a header whose fields come one by one is bound by the limit (each segment that ended just behind a line began a new count)")
+{
+    // Each piece ends with the first byte of the next line.
+    const std::string piece = ": b\r\nA";
+    for (const message_kind kind : {message_kind::Request, message_kind::Response}) {
+        stream_reading reading(kind);
+        reading.feed(kind == message_kind::Request ? "GET /a/ HTTP/1.1\r\nA" : "HTTP/1.1 200 OK\r\nA");
+        for (std::size_t size = 0; size <= 4 * HeaderLimitBytes; size += piece.size()) {
+            reading.feed(piece);
+        }
+        reading.feed(": b\r\n\r\n");
+        CHECK(reading.end().ending == make_error_code(boost::beast::http::error::header_limit).message());
+    }
+}
+
+namespace
+{
+
+/// A message of the given kind from the grammar of HTTP, mostly small, at times over the limits.
+std::string arbitraryMessage(message_kind kind)
+{
+    const auto pick = [](const std::vector<std::string> &choices) { return *rc::gen::elementOf(choices); };
+    std::string text = kind == message_kind::Request ? pick({"GET / HTTP/1.1\r\n", "POST /a HTTP/1.1\r\n", "PUT /b HTTP/1.0\r\n"})
+                                                     : pick({"HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 \r\n", "HTTP/1.1 100 \r\n", "HTTP/1.1 304 \r\n"});
+    const int fields = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < fields; ++i) {
+        text += pick({"A: b\r\n", "Host: h\r\n", "Connection: close\r\n", "C:\r\n d\r\n", "E: " + std::string(100, 'x') + "\r\n"});
+    }
+    const std::string body(static_cast<std::size_t>(*rc::gen::inRange(0, 70)), 'b');
+    if (*rc::gen::arbitrary<bool>()) {
+        return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        return text + "\r\n" + body;
+    }
+    text += "Transfer-Encoding: chunked\r\n\r\n";
+    const int chunks = *rc::gen::inRange(0, 3);
+    for (int i = 0; i < chunks; ++i) {
+        text += pick({"1\r\na\r\n", "2;e=f\r\n\r\n\r\n", "03;e=\"\r\"\r\nabc\r\n", "A\r\n0123456789\r\n"});
+    }
+    return text + pick({"0\r\n", "00\r\n", "0;e\r\n", "0;e=\"f\"\r\n"}) + pick({"", "A: b\r\n", "C:\r\n d\r\n"}) + "\r\n";
+}
+
+/// Changes, drops or inserts some bytes, mostly such as mean something in HTTP.
+std::string spoil(std::string text)
+{
+    static const std::string Bytes = "\r\n0:; \t\"\\fa\x01\x7f\xff";
+    const int changes = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < changes && !text.empty(); ++i) {
+        const auto position = static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(text.size())));
+        const char byte = *rc::gen::elementOf(Bytes);
+        switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+            text[position] = byte;
+            break;
+        case 1:
+            text.erase(position, 1);
+            break;
+        default:
+            text.insert(position, 1, byte);
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("message_reader: any messages, spoiled and cut in any way, read as the whole (guards against bytes from outside that end the process)")
+{
+    CHECK(rc::check([] {
+        const message_kind kind = *rc::gen::arbitrary<bool>() ? message_kind::Request : message_kind::Response;
+        const std::string text = spoil(arbitraryMessage(kind) + arbitraryMessage(kind));
+        const outcome whole = readWhole(kind, text);
+        RC_ASSERT(readByteByByte(kind, text) == whole);
+        stream_reading reading(kind);
+        std::string_view rest = text;
+        while (!rest.empty()) {
+            const auto size = std::min<std::size_t>(rest.size(), static_cast<std::size_t>(*rc::gen::inRange(1, 12)));
+            reading.feed(rest.substr(0, size));
+            rest.remove_prefix(size);
+        }
+        RC_ASSERT(reading.end() == whole);
+    }));
+}
+
 namespace
 {
 
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -2,11 +2,13 @@
 
 #include "base/assert.h"
 #include "http/chunk_scanner.h"
+#include "http/header_scanner.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/basic_parser.hpp>
 #include <cctype>
+#include <limits>
 
 namespace balsamhook
 {
@@ -98,9 +100,11 @@
 
 public:
     explicit parser(const limits &allowed)
-        : m_chunkScanner(allowed.headerBytes)
+        : m_headerScanner(IsRequest ? message_kind::Request : message_kind::Response, allowed.headerBytes)
+        , m_chunkScanner(allowed.headerBytes)
     {
-        base::header_limit(static_cast<std::uint32_t>(allowed.headerBytes));
+        // The scanners keep to the limit.
+        base::header_limit(std::numeric_limits<std::uint32_t>::max());
         base::body_limit(allowed.bodyBytes);
     }
 
@@ -108,6 +112,7 @@
     {
         std::size_t consumed = 0;
         failed = {};
+        m_hasStarted = m_hasStarted || !data.empty();
         while (consumed < data.size() && !base::is_done() && !failed) {
             const std::string_view part = nextPart(data.substr(consumed), failed);
             if (part.empty()) {
@@ -116,8 +121,8 @@
             consumed += base::put(boost::asio::buffer(part.data(), part.size()), failed);
         }
         if (failed == beast::http::error::need_more) {
-            // The framing of a chunk is passed as a whole, so it is malformed if it doesn't satisfy the parser.
-            failed = base::is_header_done() ? beast::http::error::bad_chunk : boost::system::error_code();
+            // Headers and the framing of chunks are passed as a whole: a first line is too short for its version, or an extension doesn't end.
+            failed = base::is_header_done() ? beast::http::error::bad_chunk : beast::http::error::bad_version;
         }
         return consumed;
     }
@@ -125,12 +130,16 @@
     void endOfStream(boost::system::error_code &failed) override
     {
         failed = {};
+        if (!base::is_header_done()) {
+            failed = beast::http::error::partial_message;
+            return;
+        }
         base::put_eof(failed);
     }
 
     bool hasStarted() const override
     {
-        return base::got_some();
+        return m_hasStarted;
     }
 
     bool hasHeader() const override
@@ -219,7 +228,10 @@
     /// Returns what the parser can take of the data; empty if more bytes are needed.
     std::string_view nextPart(std::string_view data, error_code &failed)
     {
-        if (!base::is_header_done() || !base::chunked()) {
+        if (!base::is_header_done()) {
+            return data.substr(0, m_headerScanner.scan(data, failed));
+        }
+        if (!base::chunked()) {
             return data;
         }
         if (m_chunkBytesLeft > 0) {
@@ -242,10 +254,19 @@
     }
 
     boost::optional<std::uint64_t> m_length; ///< Of the body, if the header names it.
+    header_scanner m_headerScanner;
     chunk_scanner m_chunkScanner;
     std::uint64_t m_chunkBytesLeft = 0; ///< Of the current chunk.
+    bool m_hasStarted = false;
 };
 
+std::size_t message_reader::maxUnconsumedBytes(const limits &allowed)
+{
+    // A first line and fields, or the end of a chunk, the line of the last one and a trailer.
+    constexpr std::size_t ChunkEndBytes = 2;
+    return ChunkEndBytes + 2 * allowed.headerBytes;
+}
+
 message_reader::message_reader(message_kind kind, limits allowed)
     : m_kind(kind)
     , m_limits(allowed)
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/message_kind.h"
 #include "http/response_memory.h"
 
 #include <boost/system/error_code.hpp>
@@ -46,11 +47,6 @@
 /// True for the status of a response that a final one follows.
 bool isInterimStatus(unsigned status);
 
-enum class message_kind : std::uint8_t {
-    Request,
-    Response,
-};
-
 /// Incremental parser for the sequence of HTTP messages on one connection, based on Boost.Beast. Not thread-safe.
 class message_reader
 {
@@ -61,13 +57,17 @@
         std::size_t bodyBytes = 16 * 1024 * 1024;
     };
 
+    /// Most bytes that feed() leaves unconsumed without an error, unless the message has ended before them.
+    static std::size_t maxUnconsumedBytes(const limits &allowed);
+
     message_reader(message_kind kind, limits allowed);
     ~message_reader();
     message_reader(message_reader &&) noexcept;
     message_reader &operator=(message_reader &&) noexcept;
 
-    /// Parses the data and returns the number of bytes consumed. Stops at the end of a message and before an incomplete line; the unconsumed bytes must be
-    /// passed again, followed by the bytes received next. After an error the reader can't be used any more.
+    /// Parses the data and returns the number of bytes consumed. Stops at the end of a message and before an incomplete header, line of a chunk or trailer; the
+    /// unconsumed bytes must be passed again, followed by the bytes received next. After an error the reader can't be used any more. How the bytes of a
+    /// connection are cut makes no difference to what is read.
     std::size_t feed(std::string_view data, boost::system::error_code &failed);
 
     /// Signals that the peer shut down its sending side. Completes a response whose body extends to the end of the connection; any other incomplete message
