A call that outlived the end of the history met an assertion

A copy of a peer that knows no era, beside a store that names one, makes an instance list all objects again; a watch of the same kind that returned after that ended the process: "base: invariant violated: m_isListed".

Cause: copy_progress::onHistoryExpired() said that the copy isn't listed, but calls under way still counted as made for the current state of the copy.

Evidence: the new test aborts without the change (copy_progress.cpp:37).

Change: the end of the history is a change of the copy like a new era, so such calls are dropped and the list is read. The assertion stays: it now holds by what this class itself does.

--- a/catalogue/copy_progress.cpp
+++ b/catalogue/copy_progress.cpp
@@ -54,6 +54,7 @@
 
 void copy_progress::onHistoryExpired()
 {
+    ++m_replacements;
     m_isListed = false;
 }
 
--- a/catalogue/copy_progress.h
+++ b/catalogue/copy_progress.h
@@ -39,7 +39,8 @@
     /// True if a peer's copy with these revisions replaces this one as a whole; the copy counts as replaced and listed then.
     bool acceptPeerCopy(const copy_revisions &offered);
 
-    /// The store has discarded the history after completeThrough, so the objects have to be listed again. The copy stays in use meanwhile.
+    /// The store has discarded the history after completeThrough, so the objects have to be listed again. The copy stays in use meanwhile; calls that are under
+    /// way are of no use any more.
     void onHistoryExpired();
 
     /// The store has begun another era, so its revisions can't be compared with those that the copy reflects; all objects have to be listed again. The copy
@@ -59,7 +60,7 @@
 
 private:
     copy_revisions m_revisions;
-    call_token m_replacements = 0; ///< Number of times that the copy was replaced or discarded, or its era ended.
+    call_token m_replacements = 0; ///< Number of times that the copy was replaced or discarded, or its era or history ended.
     bool m_isListed = false;
     bool m_isComplete = false;
 };
--- a/catalogue/copy_progress_test.cpp
+++ b/catalogue/copy_progress_test.cpp
@@ -444,3 +444,14 @@
     CHECK(progress.acceptPeerCopy({23, 23}));
     CHECK(progress.revisions() == copy_revisions{23, 23});
 }
+
+TEST_CASE("copy_progress: a call that was under way when the history ended is dropped (a watch that returned after it ended the process by an assertion)")
+{
+    copy_progress progress;
+    REQUIRE(progress.acceptPeerCopy({20, 22}));
+    const auto call = progress.beginCall();
+    progress.onHistoryExpired();
+    CHECK_FALSE(progress.acceptChanges(call, 30));
+    CHECK_FALSE(progress.acceptPage(call, 30));
+    CHECK(progress.acceptPage(progress.beginCall(), 30));
+}
