A store's surplus bytes were read as the next call's response

What callers saw: nothing known. A store, peer or other server that sends bytes behind its response, in the same segment, had them taken for the response to the next call on that connection: a list or a watch with another one's content.

Cause: http_connection kept its receive buffer from one exchange to the next, and isOpen() asks only the socket for unexpected bytes.

Evidence: the new test fails before the change: the connection counts as open and the next exchange returns the surplus response.

Change: a connection with bytes behind the response is closed, as the one to targets is.

--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -726,3 +726,29 @@
     }
     CHECK_FALSE(fetchPieces({head, "5\r\nhello\r\n0\r\n"}));
 }
+
+TEST_CASE("http_connection: bytes behind a response are not read as the next one's (a call could get what a store or a peer had sent twice)")
+{
+    scripted_peer peer([&](tcp::socket &socket) {
+        readRequest(socket);
+        writePieces(socket, {makeResponse("first", "first") + makeResponse("surplus", "surplus")});
+        readRequest(socket);
+    });
+    asio::io_context context;
+    bool isDone = false;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto connection = co_await http_connection::open(peer.address(), {}, TestTimeout);
+            REQUIRE(connection);
+            const auto first = co_await connection.value()->exchange(http_request(), TestTimeout);
+            REQUIRE(first);
+            CHECK(first.value().body == "first");
+            CHECK_FALSE(connection.value()->isOpen());
+            CHECK_FALSE(co_await connection.value()->exchange(http_request(), TestTimeout));
+            isDone = true;
+        },
+        asio::detached);
+    context.run_for(TestTimeout);
+    CHECK(isDone);
+}
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -189,7 +189,8 @@
             continue;
         }
         m_state->stream.expires_never();
-        if (!response.keepAlive) {
+        // Bytes behind the response answer no request, so none of them may be taken for the next one's.
+        if (!response.keepAlive || !m_state->unparsed.empty()) {
             close();
         }
         co_return toResponse(std::move(response));
