A peer's datagram could name any size and any number

What callers saw: nothing known; found with sanitizers on. Five bytes that announce an array of 2^32 elements made the receiver ask for 137 GB, and fewer elements for what the machine has. A heartbeat with NaN as the processor share went into std::sort, where NaN breaks the order, and one with an address that is no text made the directory answer 500 (it can't be written as JSON).

Cause: msgpack's unpack() allocates what the bytes announce, within no limits by default; of what it returns only the types were checked.

Change: unpackLimits() allows no more elements than bytes, for datagrams and for the messages of the first design. decodeHeartbeat(), a function of its own, refuses a share that is negative or not finite, and an address that is none; such datagrams count as malformed.

--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace balsamhook
@@ -82,4 +84,7 @@
                          asksForSenders)
 };
 
+/// Decodes a datagram; empty if it is malformed or has values that no instance sends. Never throws.
+std::optional<peer_heartbeat> decodeHeartbeat(std::string_view datagram);
+
 } // namespace balsamhook
--- a/node/peer_task.cpp
+++ b/node/peer_task.cpp
@@ -112,13 +112,12 @@
 
 void peer_task::onDatagram(std::size_t size)
 {
-    peer_heartbeat heartbeat;
-    try {
-        msgpack::unpack(m_buffer.data(), size).get().convert(heartbeat);
-    } catch (const std::exception &broken) {
+    const std::optional<peer_heartbeat> decoded = decodeHeartbeat({m_buffer.data(), size});
+    if (!decoded) {
         m_context.metrics.add("peer_datagrams_malformed_total");
         return;
     }
+    const peer_heartbeat &heartbeat = *decoded;
     if (heartbeat.version != PeerMessageVersion || heartbeat.instance == m_context.settings.instance) {
         return;
     }
--- a/wire/message_codec.cpp
+++ b/wire/message_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/message_codec.h"
 
+#include "base/unpack_limits.h"
+
 #include <msgpack.hpp>
 
 // Enumerators are encoded as their number; the decoder checks the range in enumeratorsInRange().
@@ -192,7 +194,7 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle = msgpack::unpack(payload.data(), payload.size(), offset);
+        const msgpack::object_handle handle = msgpack::unpack(payload.data(), payload.size(), offset, nullptr, nullptr, unpackLimits(payload.size()));
         const msgpack::object &root = handle.get();
         if (offset != payload.size() || root.type != msgpack::type::ARRAY || root.via.array.size != 3) {
             return malformed("payload is not an array of version, type and body");
