--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -153,7 +153,7 @@
 
 bool caller_connection::mayRead() const
 {
-    const bool isResponsePending = m_busy || !m_outgoing.empty();
+    const bool isResponsePending = m_busy || !m_outgoing.isEmpty();
     const std::size_t limit = isResponsePending ? MaxPipelinedBytes : std::max(MaxUnparsedBytes, message_reader::maxUnconsumedBytes(m_settings.limits) + 1);
     return m_unparsed.size() < limit;
 }
@@ -161,8 +161,8 @@
 std::size_t caller_connection::heldBytes() const
 {
     const std::size_t receiveBuffer = m_hasLargeReceiveBuffer ? 2 * static_cast<std::size_t>(LargeReceiveBufferBytes) : 0;
-    return connection_account::ConnectionBytes + receiveBuffer + m_unparsed.capacity() + m_reader.heldBytes() + m_outgoing.capacity()
-        + m_outgoingBody.capacity();
+    return connection_account::ConnectionBytes + receiveBuffer + m_unparsed.capacity() + m_reader.heldBytes()
+        + m_outgoing.heldBytes();
 }
 
 bool caller_connection::updateAccount()
@@ -211,7 +211,7 @@
         return;
     }
     // A caller that doesn't read its responses gets no further ones, which would have to be kept.
-    if (!m_reader.hasStarted() && !m_outgoing.empty()) {
+    if (!m_reader.hasStarted() && !m_outgoing.isEmpty()) {
         return;
     }
     if (!m_reader.hasStarted()) {
@@ -276,17 +276,15 @@
     if (m_closed) {
         return;
     }
-    BALSAM_ASSERT(m_busy && m_outgoingBody.empty());
+    BALSAM_ASSERT(m_busy);
     m_closeAfter = m_closeAfter || closeAfter;
     m_hasRespondedLast = m_closeAfter;
     m_busy = false;
     m_idleSince = clock::now();
     m_writtenAt = m_idleSince;
     std::string bytes = serialize(response, m_closeAfter);
-    if (!response.omitsBody && response.body.size() > MaxCopiedBodyBytes) {
-        m_outgoingBody = std::move(response.body);
-    }
-    send(std::move(bytes));
+    const bool isBodySeparate = !response.omitsBody && response.body.size() > MaxCopiedBodyBytes;
+    send(std::move(bytes), isBodySeparate ? std::move(response.body) : std::string());
     if (m_closed) {
         return;
     }
@@ -320,31 +318,22 @@
     });
 }
 
-std::array<asio::const_buffer, 2> caller_connection::remainingBuffers() const
-{
-    const std::size_t writtenOfBody = m_written > m_outgoing.size() ? m_written - m_outgoing.size() : 0;
-    return {asio::buffer(m_outgoing) + m_written, asio::buffer(m_outgoingBody) + writtenOfBody};
-}
-
-std::size_t caller_connection::remainingBytes() const
-{
-    return m_outgoing.size() + m_outgoingBody.size() - m_written;
-}
-
-void caller_connection::send(std::string bytes)
+void caller_connection::send(std::string bytes, std::string body)
 {
-    if (!m_outgoing.empty()) {
-        m_outgoing.append(bytes);
+    const bool isWriting = !m_outgoing.isEmpty();
+    m_outgoing.add(std::move(bytes));
+    m_outgoing.add(std::move(body));
+    if (isWriting) {
         return;
     }
-    m_outgoing = std::move(bytes);
     boost::system::error_code failed;
-    m_written = m_socket.write_some(remainingBuffers(), failed);
+    const std::size_t size = m_socket.write_some(m_outgoing.buffers(), failed);
     if (failed && failed != asio::error::would_block) {
         close();
         return;
     }
-    if (remainingBytes() > 0) {
+    m_outgoing.onWritten(size);
+    if (!m_outgoing.isEmpty()) {
         writeRemaining();
         return;
     }
@@ -353,7 +342,7 @@
 
 void caller_connection::writeRemaining()
 {
-    m_socket.async_write_some(remainingBuffers(), [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
+    m_socket.async_write_some(m_outgoing.buffers(), [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
         if (self->m_closed) {
             return;
         }
@@ -361,9 +350,9 @@
             self->close();
             return;
         }
-        self->m_written += size;
+        self->m_outgoing.onWritten(size);
         self->m_writtenAt = clock::now();
-        if (self->remainingBytes() > 0) {
+        if (!self->m_outgoing.isEmpty()) {
             self->writeRemaining();
             return;
         }
@@ -378,9 +367,6 @@
 
 void caller_connection::onWritten()
 {
-    releaseMemory(m_outgoing);
-    releaseMemory(m_outgoingBody);
-    m_written = 0;
     if (m_hasRespondedLast && !m_lingering) {
         lingerAndClose();
         return;
@@ -401,7 +387,7 @@
 void caller_connection::closeWhenIdle()
 {
     m_closeAfter = true;
-    const bool isIdle = !m_busy && !m_closed && !m_hasRespondedLast && !m_reader.hasStarted() && m_unparsed.empty() && m_outgoing.empty();
+    const bool isIdle = !m_busy && !m_closed && !m_hasRespondedLast && !m_reader.hasStarted() && m_unparsed.empty() && m_outgoing.isEmpty();
     if (isIdle && !hasUnreadBytes()) {
         close();
     }
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -3,6 +3,7 @@
 #include "base/base.h"
 #include "http/connection_account.h"
 #include "http/message_reader.h"
+#include "http/outgoing_bytes.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -81,9 +82,7 @@
     void reject(const boost::system::error_code &failed);
     void rejectForRoom();
     void respondToUnread(caller_response response);
-    void send(std::string bytes);
-    std::array<boost::asio::const_buffer, 2> remainingBuffers() const;
-    std::size_t remainingBytes() const;
+    void send(std::string bytes, std::string body = {});
     std::size_t heldBytes() const;
     bool updateAccount();
     void setReceiveBuffer(bool isLarge);
@@ -102,9 +101,7 @@
     message_reader m_reader;
     std::array<char, 4096> m_buffer{};
     std::string m_unparsed; ///< Received bytes that the parser hasn't consumed, pipelined requests included.
-    std::string m_outgoing;
-    std::string m_outgoingBody; ///< Sent after m_outgoing; empty if the body is small.
-    std::size_t m_written = 0;
+    outgoing_bytes m_outgoing; ///< Not empty while a write is pending.
     connection_account::entry_pointer m_entry; ///< May be empty.
     timer_queue::handle m_timer = 0;
     clock::time_point m_idleSince;
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http.h"
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -405,11 +406,47 @@
         return received;
     }
 
+    /// Sends requests, each in two segments, and reads only once the connection makes no progress any more; returns what it received then. To be called on
+    /// another thread.
+    std::string exchangeWithoutReading(const std::string &header, const std::string &body, int count)
+    {
+        constexpr std::chrono::milliseconds StallTime{100};
+        asio::io_context clientContext;
+        tcp::socket socket(clientContext, tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket.connect(acceptor.local_endpoint());
+        socket.set_option(tcp::no_delay(true));
+        boost::system::error_code failed;
+        for (int sent = 1; sent <= count && !failed; ++sent) {
+            asio::write(socket, asio::buffer(header), failed);
+            std::this_thread::sleep_for(std::chrono::microseconds(50));
+            asio::write(socket, asio::buffer(body), failed);
+            const auto stalledAt = std::chrono::steady_clock::now() + StallTime;
+            while (requests < sent && std::chrono::steady_clock::now() < stalledAt) {
+                std::this_thread::yield();
+            }
+            if (requests < sent) {
+                break;
+            }
+        }
+        std::string received;
+        std::string piece(65536, ' ');
+        socket.non_blocking(true);
+        const auto end = std::chrono::steady_clock::now() + StallTime;
+        while (std::chrono::steady_clock::now() < end) {
+            const std::size_t size = socket.read_some(asio::buffer(piece), failed);
+            received.append(piece, 0, size);
+            std::this_thread::yield();
+        }
+        socket.close(failed);
+        return received;
+    }
+
     asio::io_context context;
     timer_queue timers;
     tcp::acceptor acceptor;
     caller_connection::pointer activeConnection;
-    int requests = 0;
+    std::atomic<int> requests = 0;
     int disconnects = 0;
 };
 
@@ -452,6 +489,36 @@
     CHECK(count(received, "HTTP/1.1 200") == Requests);
 }
 
+TEST_CASE("caller_connection: callers that expect 100-continue and read late get only whole responses (review case 7: 25 bytes of freed memory)")
+{
+    constexpr int Connections = 30;
+    constexpr int Requests = 2500; // More than the sockets have room for responses.
+    const connection_account account({100000000, 10});
+    int late = 0;
+    for (int number = 0; number < Connections; ++number) {
+        CAPTURE(number);
+        caller_fixture fixture({}, &account);
+        const std::string body(static_cast<std::size_t>(1 + number), 'x');
+        const std::string header = "POST /1/ HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        std::string received;
+        std::thread client([&] { received = fixture.exchangeWithoutReading(header, body, Requests); });
+        fixture.context.run_for(TestTimeout);
+        client.join();
+        late += fixture.requests < Requests ? 1 : 0;
+        // The connection may have ended within a response.
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(4 + body.size()) + "\r\n\r\n/1/:" + body;
+        std::string_view rest = received;
+        while (!rest.empty()) {
+            const std::string &next = rest.substr(0, 10) == interim.substr(0, 10) ? interim : response;
+            INFO("at ", received.size() - rest.size(), " of ", received.size(), ": ", rest.substr(0, 100));
+            REQUIRE(rest.substr(0, next.size()) == next.substr(0, rest.size()));
+            rest.remove_prefix(std::min(rest.size(), next.size()));
+        }
+    }
+    CHECK(late > 0);
+}
+
 TEST_CASE("caller_connection: a long request behind a response that is read late is read to its end (it got 408 as reading was not resumed)")
 {
     const auto post = [](const std::string &path, std::size_t bytes, const std::string &fields) {
--- a/http/target_connection.cpp
+++ b/http/target_connection.cpp
@@ -94,11 +94,13 @@
 {
     BALSAM_ASSERT(m_open && !m_closed && !m_exchangeHandler);
     m_exchangeHandler = std::move(done);
-    m_outgoing = std::move(request);
-    m_written = 0;
+    BALSAM_ASSERT(m_outgoing.isEmpty());
+    m_outgoing.add(std::move(request.head));
+    m_outgoing.add(std::move(request.body));
+    m_hasSentBytes = false;
     m_machine.begin(std::move(requestId), expectsBody);
     boost::system::error_code failed;
-    const std::size_t size = m_socket.write_some(remainingBuffers(), failed);
+    const std::size_t size = m_socket.write_some(m_outgoing.buffers(), failed);
     if (failed && failed != asio::error::would_block) {
         // Posted to the event loop, so that the handler is never called from within exchange().
         asio::post(m_socket.get_executor(), [self = shared_from_this(), failed] {
@@ -113,27 +115,18 @@
 
 void target_connection::onWritten(std::size_t size)
 {
-    m_written += size;
-    if (m_written < m_outgoing.size()) {
-        writeRemaining();
-    } else {
-        // An assignment could keep the buffer.
-        serialized_request().head.swap(m_outgoing.head);
-        m_outgoing.body = nullptr;
+    m_hasSentBytes = m_hasSentBytes || size > 0;
+    m_outgoing.onWritten(size);
+    if (m_outgoing.isEmpty()) {
         m_machine.onRequestWritten();
+    } else {
+        writeRemaining();
     }
 }
 
-std::array<asio::const_buffer, 2> target_connection::remainingBuffers() const
-{
-    const std::size_t writtenOfBody = m_written > m_outgoing.head.size() ? m_written - m_outgoing.head.size() : 0;
-    const asio::const_buffer body = m_outgoing.body ? asio::buffer(*m_outgoing.body) : asio::const_buffer();
-    return {asio::buffer(m_outgoing.head) + m_written, body + writtenOfBody};
-}
-
 void target_connection::writeRemaining()
 {
-    m_socket.async_write_some(remainingBuffers(), [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
+    m_socket.async_write_some(m_outgoing.buffers(), [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
         if (self->m_closed || !self->m_exchangeHandler) {
             return;
         }
@@ -178,7 +171,7 @@
         handler(false);
         return;
     }
-    if (auto result = m_machine.onEnd(endOf(failed), m_written > 0)) {
+    if (auto result = m_machine.onEnd(endOf(failed), m_hasSentBytes)) {
         finish(std::move(*result));
     } else {
         closeIdle();
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -2,6 +2,7 @@
 
 #include "base/base.h"
 #include "http/exchange_machine.h"
+#include "http/outgoing_bytes.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -67,7 +68,6 @@
     void read();
     void onRead(const boost::system::error_code &failed, std::size_t size);
     void writeRemaining();
-    std::array<boost::asio::const_buffer, 2> remainingBuffers() const;
     void onWritten(std::size_t size);
     void onConnectionError(const boost::system::error_code &failed);
     void finish(exchange_result result);
@@ -81,8 +81,8 @@
     open_handler m_openHandler;
     exchange_handler m_exchangeHandler;
     close_handler m_closeHandler;
-    serialized_request m_outgoing; ///< Until it is written.
-    std::size_t m_written = 0;
+    outgoing_bytes m_outgoing; ///< The rest of the request.
+    bool m_hasSentBytes = false; ///< Of the current request.
     bool m_open = false;
     bool m_closed = false;
     clock::time_point m_idleSince{};
