--- a/http/connection_account.cpp
+++ b/http/connection_account.cpp
@@ -200,7 +200,7 @@
 std::shared_ptr<void> connection_account::entry::hold(std::size_t bytes) const
 {
     const bool hasRoom = bytes <= SmallBytes || m_state->heldBytes + bytes <= m_state->allowed.bytes / 2;
-    return hasRoom ? std::make_shared<held_bytes<state>>(m_state, bytes) : nullptr;
+    return m_isListed && hasRoom ? std::make_shared<held_bytes<state>>(m_state, bytes) : nullptr;
 }
 
 void connection_account::entry::onBegin(clock::time_point now)
--- a/http/connection_account.h
+++ b/http/connection_account.h
@@ -83,7 +83,8 @@
     bool resize(std::size_t bytes);
 
     /// Counts bytes that may outlive the connection, as those of a request that is passed on, until the returned object and its copies are destroyed. They
-    /// can't be evicted, so all of them together take half of the limit at most, but for those of small requests. Returns nullptr if there is no room.
+    /// can't be evicted, so all of them together take half of the limit at most, but for those of small requests. Returns nullptr if there is no room, or the
+    /// connection was evicted: a request that arrives before it is closed may not be passed on.
     std::shared_ptr<void> hold(std::size_t bytes) const;
 
     /// The connection begins to receive, to send or to be idle at this time. Bytes that trickle in or out later make it no younger.
--- a/http/connection_account_test.cpp
+++ b/http/connection_account_test.cpp
@@ -79,6 +79,8 @@
     CHECK_FALSE(busy->isEvicted);
     CHECK_FALSE(young->isEvicted);
     CHECK_FALSE(slow->entry->resize(Base));
+    CHECK_FALSE(slow->entry->hold(1));
+    CHECK(idle->entry->hold(1));
 }
 
 TEST_CASE("connection_account: a connection that trickles isn't younger for it (guards against slow readers that outlast the others)")
--- a/http/connection_test.cpp
+++ b/http/connection_test.cpp
@@ -602,6 +602,35 @@
     CHECK(account.bytes() == 0);
 }
 
+TEST_CASE("caller_connection: a request that arrives with its connection's eviction is refused, not passed on (review case 8: it ran and was never answered)")
+{
+    const connection_account account({10000000, 1});
+    caller_fixture fixture({}, &account);
+    asio::io_context clientContext;
+    tcp::socket first(clientContext);
+    first.connect(fixture.acceptor.local_endpoint());
+    while (!fixture.activeConnection) {
+        fixture.context.run_one_for(TestTimeout);
+    }
+    fixture.context.poll();
+    connection_account::entry_pointer second;
+    fixture.acceptor.async_accept([&](const boost::system::error_code &, const tcp::socket &) { second = account.admit(); });
+    fixture.context.poll();
+    // Both events are ready at once, that of the new connection first.
+    tcp::socket other(clientContext);
+    other.connect(fixture.acceptor.local_endpoint());
+    asio::write(first, asio::buffer(std::string("GET /hang HTTP/1.1\r\nHost: h\r\n\r\n")));
+    std::this_thread::sleep_for(PieceDelay);
+    fixture.context.run_for(TestTimeout);
+    CHECK(second);
+    CHECK(fixture.requests == 0);
+    std::string received;
+    boost::system::error_code ended;
+    asio::read(first, asio::dynamic_buffer(received), ended);
+    CHECK(received.find("HTTP/1.1 503 ") == 0);
+    CHECK(received.find("Retry-After: ") != std::string::npos);
+}
+
 TEST_CASE("caller_connection: nothing is kept of a request that was rejected, also while its caller stays (its body was, until the connection ended)")
 {
     constexpr std::size_t MaxBodyBytes = 200000;
