Three property tests of routing couldn't fail

rc::check() returns whether the property holds; three of its 26 calls dropped the result (retry_budget, decideGather, chooseSenders), so a counterexample was printed and the test passed. Found as the same slip stood in a new test.

--- a/routing/routing_test.cpp
+++ b/routing/routing_test.cpp
@@ -333,7 +333,7 @@
 
 TEST_CASE("retry_budget: all instances together stay within the ratio and the slack in every window (guards against retry storms)")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const unsigned instances = *rc::gen::inRange(1U, 12U);
         const retry_budget::limits limits{0.2, 52, 10s};
         std::vector<retry_budget> budgets(instances, retry_budget(limits, Start - 1min));
@@ -359,7 +359,7 @@
             const auto counted = std::count_if(requests.begin(), requests.end(), before);
             RC_ASSERT(static_cast<double>(used) <= 0.2 * static_cast<double>(counted) + 52);
         }
-    });
+    }));
 }
 
 TEST_CASE("retry_budget: hedges leave the reserve for retries, and a new process uses half of the slack (guards against spending the full slack again after "
@@ -401,7 +401,7 @@
 
 TEST_CASE("decideGather: a response always reaches the minimum coverage (guards against violating the operator's setting)")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         gather_progress progress;
         progress.shards = *rc::gen::inRange<std::size_t>(1, 200);
         progress.parts = *rc::gen::inRange<std::size_t>(0, progress.shards + 1);
@@ -412,7 +412,7 @@
             RC_ASSERT(progress.parts >= 1);
             RC_ASSERT(static_cast<double>(progress.parts) >= progress.minimumCoverage * static_cast<double>(progress.shards) - 1e-6);
         }
-    });
+    }));
 }
 
 TEST_CASE("isShardSkipped: skips only late shards, and only half of those that may be missing (guards against unnecessarily partial responses)")
@@ -546,7 +546,7 @@
 
 TEST_CASE("chooseSenders: an instance that isn't chosen gets the same result from only the chosen ones and itself (guards against too many senders)")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         std::vector<sender_candidate> candidates;
         const int count = *rc::gen::inRange(1, 40);
         for (int i = 0; i < count; ++i) {
@@ -567,7 +567,7 @@
             }
             RC_ASSERT(chooseSenders(known, 8).count(outsider.instance) == 0U);
         }
-    });
+    }));
 }
 
 TEST_CASE("cold_start_limiter: all senders together stay below the rate that a cold target supports (guards against crashing a target that has just started)")
