A setting of 0 or no number met an assertion

Bounds.BudgetWindowS=0 ended the start with "invariant violated: allowed.window.count() > 0", and a grace period of "nan" the planned stop.

--- a/node/catalogue_sync_test.cpp
+++ b/node/catalogue_sync_test.cpp
@@ -410,3 +410,16 @@
         CHECK(rejected.error().message.find(name) != std::string::npos);
     }
 }
+
+TEST_CASE("platform_settings: numbers that can't be used are named (a budget window of 0, or a grace period that is no number, met an assertion)")
+{
+    const std::string text = "NodeName=n1\nIp=127.0.0.1\nZone=dc1\nRegion=r\nZones.dc1=r\nEndpoints.Front=127.0.0.1:81\nEndpoints.Readiness=127.0.0.1:82\n"
+                             "Endpoints.Control=127.0.0.1:83\nEndpoints.directory=127.0.0.1:84\nInternalPorts=90,95\nplatform.Address=127.0.0.9:80\n";
+    REQUIRE(parsePlatformSettings(text).has_value());
+    for (const std::string line : {"Bounds.BudgetWindowS=0", "Bounds.BudgetWindowS=0.0001", "Bounds.GraceS=nan", "Bounds.GraceS=inf", "Limits.CpuShare=nan"}) {
+        CAPTURE(line);
+        const auto rejected = parsePlatformSettings(text + line + "\n");
+        REQUIRE_FALSE(rejected.has_value());
+        CHECK(rejected.error().message.find(line.substr(0, line.find('='))) != std::string::npos);
+    }
+}
