--- a/http/caller_connection.cpp
+++ b/http/caller_connection.cpp
@@ -161,8 +161,7 @@
 std::size_t caller_connection::heldBytes() const
 {
     const std::size_t receiveBuffer = m_hasLargeReceiveBuffer ? 2 * static_cast<std::size_t>(LargeReceiveBufferBytes) : 0;
-    return connection_account::ConnectionBytes + receiveBuffer + m_unparsed.capacity() + m_reader.heldBytes()
-        + m_outgoing.heldBytes();
+    return connection_account::ConnectionBytes + receiveBuffer + m_unparsed.capacity() + m_reader.heldBytes() + m_outgoing.heldBytes();
 }
 
 bool caller_connection::updateAccount()
